--- a/src/bin/lotuspond-adapter/frames.rs
+++ b/src/bin/yokelift-drill/frames.rs
@@ -1,7 +1,7 @@
 //! Binary frames: events in, actions out. Big-endian, no padding.
 
 use bytes::{Buf, BufMut};
-use lotuspond::interface::*;
+use yokelift::interface::*;
 
 /// Reads fields off one frame and remembers where it stands.
 pub struct Reader<'a> {
--- a/src/bin/lotuspond-adapter/main.rs
+++ b/src/bin/yokelift-drill/main.rs
@@ -1,15 +1,15 @@
-//! Hosts many independent gateways behind binary frames on standard input and output.
+//! Simulator adapter: hosts many independent gateways behind binary frames on standard input and output.
 #![forbid(unsafe_code)]
 
 mod frames;
-mod settings;
 
 use bytes::BufMut;
 use frames::{Reader, put_action};
-use lotuspond::decide::Gateway;
-use lotuspond::interface::*;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
+use yokelift::decide::Gateway;
+use yokelift::interface::*;
+use yokelift::settings;
 
 /// A frame longer than this is taken for a broken length field.
 const MAX_FRAME: usize = 1 << 30;
@@ -228,7 +228,7 @@
     match serve() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("lotuspond-adapter: {message}");
+            eprintln!("yokelift-drill: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decisions of a gateway in front of shared query engines.
+//! A workload manager in front of shared query engines, and the decisions it goes by.
 //!
 //! [`decide::Gateway`] is a state machine without I/O: feed it [`interface::Event`]s with the time they came
 //! in and carry out the [`interface::Action`]s it appends. Everything it knows comes from
@@ -10,8 +10,10 @@
 #[cfg(doctest)]
 pub struct ReadmeExample;
 
+pub mod config;
 pub mod decide;
 pub mod interface;
+pub mod settings;
 mod state;
 
 #[cfg(test)]
--- a/src/bin/lotuspond-adapter/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Start settings as JSON, turned into the library's own.
 
-use lotuspond::interface::*;
+use crate::interface::*;
 use serde::Deserialize;
 
 #[derive(Deserialize, Default)]
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -60,7 +60,7 @@
 }
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lotuspond-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_yokelift-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and small helpers that the tests share.
 #![allow(dead_code)]
 
-use lotuspond::decide::Gateway;
-use lotuspond::interface::*;
+use yokelift::decide::Gateway;
+use yokelift::interface::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000_000_000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,12 +2,12 @@
 //! with the module.
 mod common;
 use common::*;
-use lotuspond::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
+use yokelift::interface::*;
 
 const WORK: [Nanos; 4] = [200 * MS, S, 2 * S, 100 * MS];
 const DEADLINE: [Nanos; 4] = [6 * S, 15 * S, 20 * S, 6 * S];
@@ -81,7 +81,7 @@
         if odd(2) {
             s.rules.fall_window = S;
         }
-        let rig = Rig { g: lotuspond::decide::Gateway::new(T0, s.clone(), seed), now: T0 };
+        let rig = Rig { g: yokelift::decide::Gateway::new(T0, s.clone(), seed), now: T0 };
         let mut w = World {
             s,
             rig,
