--- /dev/null
+++ b/src/engine/link.rs
@@ -0,0 +1,242 @@
+//! The state of one connection to an engine, without its socket: what waits to go out, what is out, and how
+//! each attempt on it ends. Sockets push bytes through it; the wire's protocol is its parameter.
+use super::{Said, Wire};
+use crate::clock::{MS, Micros};
+use crate::interface::{AttemptNo, LoadReport, OutcomeKind, RequestId};
+use crate::manager::ends::{End, Reach};
+use crate::manager::{Ended, Job};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How long after the word that gives an attempt up it counts as given up: the word has to get there before
+/// any further attempt does, and that may travel on another connection.
+const SETTLE: Micros = 5 * MS;
+/// A probe without an answer for so long has failed.
+const PROBE_TIME: Micros = 250 * MS;
+
+struct Chunk {
+    /// Set while the chunk starts an attempt: then it can be taken back before its first byte.
+    starts: Option<RequestId>,
+    bytes: Vec<u8>,
+    done: usize,
+}
+
+struct OnIt {
+    attempt: AttemptNo,
+    reach: Reach,
+    sent_at: Micros,
+    /// Given up; over at that time.
+    settles: Option<Micros>,
+}
+
+/// What happened on a connection.
+#[derive(Debug)]
+pub enum Event {
+    /// An attempt ended.
+    Ended(Ended),
+    /// A probe came back.
+    Probed {
+        /// How.
+        kind: OutcomeKind,
+        /// How long it took.
+        latency: Micros,
+        /// The engine's load, where told.
+        load: LoadReport,
+    },
+}
+
+/// One connection.
+pub struct Link<W> {
+    wire: W,
+    on_it: BTreeMap<RequestId, OnIt>,
+    probes: VecDeque<Micros>,
+    outbox: VecDeque<Chunk>,
+    heard_at: Micros,
+    quiet_since: Micros,
+    /// Nothing was heard since an attempt that was given up went out: it may be cut off. Carries nothing new.
+    suspect: bool,
+    over: Option<End>,
+}
+
+impl<W: Wire> Link<W> {
+    /// A connection that is about to be made.
+    pub fn new(now: Micros, wire: W) -> Link<W> {
+        Link {
+            wire,
+            on_it: BTreeMap::new(),
+            probes: VecDeque::new(),
+            outbox: VecDeque::new(),
+            heard_at: now,
+            quiet_since: now,
+            suspect: false,
+            over: None,
+        }
+    }
+
+    /// Attempts that it can carry beside those on it.
+    pub fn free(&self) -> usize {
+        let fresh = self.over.is_none() && !self.suspect && self.wire.reusable();
+        if fresh { self.wire.streams().saturating_sub(self.on_it.len()) } else { 0 }
+    }
+
+    /// The attempts on it.
+    pub fn attempts(&self) -> impl Iterator<Item = RequestId> {
+        self.on_it.keys().copied()
+    }
+
+    /// Since when nothing has been open on it, if nothing is.
+    pub fn idle_since(&self) -> Option<Micros> {
+        let idle = self.on_it.is_empty() && self.probes.is_empty() && self.outbox.is_empty();
+        idle.then_some(self.quiet_since)
+    }
+
+    /// Whether it has to be closed, and why.
+    pub fn over(&self) -> Option<End> {
+        let worn_out = self.suspect || !self.wire.reusable();
+        let used_up = worn_out && self.on_it.is_empty() && self.outbox.is_empty();
+        self.over.or(used_up.then_some(End::Dropped))
+    }
+
+    /// When it wants its next turn by itself.
+    pub fn next_due(&self) -> Option<Micros> {
+        let settles = self.on_it.values().filter_map(|a| a.settles).min();
+        settles.into_iter().chain(self.probes.front().map(|at| at + PROBE_TIME)).min()
+    }
+
+    /// Takes an attempt on.
+    pub fn start(&mut self, now: Micros, job: &Job) {
+        let bytes = self.wire.start(now, job);
+        self.outbox.push_back(Chunk { starts: Some(job.id), bytes, done: 0 });
+        let on_it = OnIt { attempt: job.attempt, reach: Reach::Unsent, sent_at: now, settles: None };
+        self.on_it.insert(job.id, on_it);
+    }
+
+    /// Sends a probe.
+    pub fn probe(&mut self, now: Micros) {
+        let bytes = self.wire.probe();
+        self.outbox.push_back(Chunk { starts: None, bytes, done: 0 });
+        self.probes.push_back(now);
+    }
+
+    fn end(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        end: End,
+        rows: Vec<u8>,
+        load: LoadReport,
+    ) -> Option<Event> {
+        let OnIt { attempt, reach, .. } = self.on_it.remove(&id)?;
+        self.quiet_since = now;
+        Some(Event::Ended(Ended { id, attempt, end, reach, rows, load }))
+    }
+
+    fn end_plain(&mut self, now: Micros, id: RequestId, end: End) -> Option<Event> {
+        self.end(now, id, end, Vec::new(), LoadReport::default())
+    }
+
+    /// Takes an attempt back before its first byte.
+    fn take_back(&mut self, now: Micros, id: RequestId, end: End) -> Option<Event> {
+        self.outbox.retain(|chunk| chunk.starts != Some(id));
+        self.wire.stop(id);
+        self.end_plain(now, id, end)
+    }
+
+    /// Gives an attempt up.
+    pub fn stop(&mut self, now: Micros, id: RequestId, attempt: AttemptNo, events: &mut Vec<Event>) {
+        let Some(on_it) = self.on_it.get_mut(&id).filter(|a| a.attempt == attempt) else { return };
+        if on_it.reach == Reach::Unsent {
+            return events.extend(self.take_back(now, id, End::Withdrawn));
+        }
+        if on_it.settles.is_some() {
+            return;
+        }
+        on_it.settles = Some(now + SETTLE);
+        self.suspect |= self.heard_at <= on_it.sent_at;
+        match self.wire.stop(id) {
+            Some(bytes) => self.outbox.push_back(Chunk { starts: None, bytes, done: 0 }),
+            None => {
+                self.over = Some(End::Dropped);
+                events.extend(self.end_plain(now, id, End::Withdrawn));
+            }
+        }
+    }
+
+    /// The engine drains or is gone. Guards rule 3: what waits to go out, as it does while the connection is
+    /// being made or while the engine does not read, must not go out any more.
+    pub fn drain(&mut self, now: Micros, events: &mut Vec<Event>) {
+        let unsent = self.on_it.iter().filter(|(_, a)| a.reach == Reach::Unsent);
+        let unsent: Vec<RequestId> = unsent.map(|(id, _)| *id).collect();
+        events.extend(unsent.into_iter().filter_map(|id| self.take_back(now, id, End::Drained)));
+    }
+
+    /// The bytes to write next.
+    pub fn to_write(&self) -> Option<&[u8]> {
+        self.outbox.front().map(|chunk| &chunk.bytes[chunk.done..])
+    }
+
+    /// So many of them were written.
+    pub fn wrote(&mut self, now: Micros, n: usize) {
+        let Some(chunk) = self.outbox.front_mut() else { return };
+        chunk.done += n;
+        if let Some(on_it) = chunk.starts.filter(|_| n > 0).and_then(|id| self.on_it.get_mut(&id))
+            && on_it.reach == Reach::Unsent
+        {
+            (on_it.reach, on_it.sent_at) = (Reach::Sent, now);
+        }
+        if chunk.done >= chunk.bytes.len() {
+            self.outbox.pop_front();
+        }
+    }
+
+    /// Bytes came; none means that the engine closed.
+    pub fn read(&mut self, now: Micros, input: &[u8], events: &mut Vec<Event>) {
+        let (mut said, mut replies) = (Vec::new(), Vec::new());
+        self.heard_at = now;
+        if input.is_empty() {
+            self.wire.finish(&mut said);
+            self.over = self.over.or(Some(End::Closed));
+        } else if let Err(end) = self.wire.feed(input, &mut said, &mut replies) {
+            self.over = self.over.or(Some(end));
+        }
+        if !replies.is_empty() {
+            self.outbox.push_back(Chunk { starts: None, bytes: replies, done: 0 });
+        }
+        for said in said {
+            match said {
+                Said::Ended(id, end, rows, load) => events.extend(self.end(now, id, end, rows, load)),
+                Said::Probed(kind, load) => {
+                    let sent = self.probes.pop_front();
+                    let latency = sent.map(|at| now.saturating_sub(at));
+                    events.extend(latency.map(|latency| Event::Probed { kind, latency, load }));
+                }
+            }
+        }
+    }
+
+    /// Whatever is due by now.
+    pub fn due(&mut self, now: Micros, events: &mut Vec<Event>) {
+        let settled = self.on_it.iter().filter(|(_, a)| a.settles.is_some_and(|at| at <= now));
+        let settled: Vec<RequestId> = settled.map(|(id, _)| *id).collect();
+        events.extend(settled.into_iter().filter_map(|id| self.end_plain(now, id, End::Withdrawn)));
+        while let Some(at) = self.probes.front().copied().filter(|at| at + PROBE_TIME <= now) {
+            self.probes.pop_front();
+            let (kind, load) = (OutcomeKind::Timeout, LoadReport::default());
+            events.push(Event::Probed { kind, latency: now - at, load });
+        }
+    }
+
+    /// The connection ended, or was never made: so does all that is on it.
+    pub fn close(&mut self, now: Micros, end: End, events: &mut Vec<Event>) {
+        self.over = self.over.or(Some(end));
+        let all: Vec<RequestId> = self.attempts().collect();
+        for id in all {
+            let given_up = self.on_it.get(&id).is_some_and(|a| a.settles.is_some());
+            events.extend(self.end_plain(now, id, if given_up { End::Withdrawn } else { end }));
+        }
+        for at in std::mem::take(&mut self.probes) {
+            let kind = crate::manager::ends::outcome(end, Reach::Sent);
+            events.push(Event::Probed { kind, latency: now - at, load: LoadReport::default() });
+        }
+        self.outbox.clear();
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,35 @@
+//! Wires to engines: parsers and mapping only. The sockets are in `src/net`.
+pub mod link;
+pub mod platform;
+
+use crate::clock::Micros;
+use crate::interface::{LoadReport, OutcomeKind, RequestId};
+use crate::manager::Job;
+use crate::manager::ends::End;
+
+/// What a wire made of the bytes of an engine.
+#[derive(Debug)]
+pub enum Said {
+    /// An attempt ended; with [`End::Done`] come all its rows.
+    Ended(RequestId, End, Vec<u8>, LoadReport),
+    /// A probe came back.
+    Probed(OutcomeKind, LoadReport),
+}
+
+/// One connection's protocol, without its socket.
+pub trait Wire {
+    /// Attempts that the connection carries together.
+    fn streams(&self) -> usize;
+    /// The bytes that start an attempt.
+    fn start(&mut self, now: Micros, job: &Job) -> Vec<u8>;
+    /// The bytes that give up an attempt that went out; `None` if only closing the connection does.
+    fn stop(&mut self, id: RequestId) -> Option<Vec<u8>>;
+    /// The bytes of a probe.
+    fn probe(&mut self) -> Vec<u8>;
+    /// Reads what came. `replies` takes what the protocol has to say at once.
+    fn feed(&mut self, input: &[u8], said: &mut Vec<Said>, replies: &mut Vec<u8>) -> Result<(), End>;
+    /// The engine closed its side: an answer may end by that.
+    fn finish(&mut self, said: &mut Vec<Said>);
+    /// Whether the connection may carry a further attempt after those on it.
+    fn reusable(&self) -> bool;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,11 +10,18 @@
 #[cfg(doctest)]
 pub struct ReadmeExample;
 
+pub mod clock;
 pub mod config;
 pub mod decide;
+pub mod engine;
+pub mod front;
 pub mod interface;
+pub mod log;
+pub mod manager;
+pub mod net;
 pub mod settings;
 mod state;
+pub mod statement;
 
 #[cfg(test)]
 #[path = "../tests/inside/law.rs"]
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,51 @@
+//! Logging: standard error behind one macro, rate-limited at each place that logs.
+use crate::clock::{self, Micros, SEC};
+use std::cell::Cell;
+
+/// Lines that one place may write in a second.
+const MOST: u32 = 5;
+
+/// What one place in the code has logged of late.
+#[derive(Default)]
+pub struct Place {
+    since: Cell<Micros>,
+    lines: Cell<u32>,
+    dropped: Cell<u64>,
+}
+
+impl Place {
+    /// A place that has logged nothing.
+    pub const fn new() -> Place {
+        Place { since: Cell::new(0), lines: Cell::new(0), dropped: Cell::new(0) }
+    }
+
+    /// Whether a line may be written now, and how many were left out before it.
+    pub fn admit(&self) -> Option<u64> {
+        let now = clock::now();
+        if now >= self.since.get() + SEC {
+            self.since.set(now);
+            self.lines.set(0);
+        }
+        if self.lines.get() >= MOST {
+            self.dropped.set(self.dropped.get() + 1);
+            return None;
+        }
+        self.lines.set(self.lines.get() + 1);
+        Some(self.dropped.replace(0))
+    }
+}
+
+/// Writes a line to standard error, a few a second from each place.
+#[macro_export]
+macro_rules! log {
+    ($($arg:tt)*) => {{
+        thread_local! { static PLACE: $crate::log::Place = const { $crate::log::Place::new() }; }
+        if let Some(dropped) = PLACE.with($crate::log::Place::admit) {
+            let line = format!($($arg)*);
+            match dropped {
+                0 => eprintln!("yokelift: {line}"),
+                n => eprintln!("yokelift: {line} ({n} lines like it left out)"),
+            }
+        }
+    }};
+}
--- /dev/null
+++ b/src/manager/counters.rs
@@ -0,0 +1,48 @@
+//! What the program has taken in, sent and answered. Printed on SIGUSR1 and at exit.
+use super::ends::End;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Counters of the core; the same for every front and every kind of engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests taken.
+    pub taken: u64,
+    /// Final answers 'served'.
+    pub served: u64,
+    /// Final answers 'refused'.
+    pub refused: u64,
+    /// Final answers 'failed'.
+    pub failed: u64,
+    /// Requests whose client left or withdrew before their answer.
+    pub gone: u64,
+    /// Attempts ordered.
+    pub attempts: u64,
+    /// Attempts withdrawn.
+    pub withdrawn: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Orders of the module that the ledger of the rules did not let pass.
+    pub stopped: u64,
+    /// Answers that came too late, or to nothing: dropped.
+    pub stray: u64,
+    /// How attempts ended.
+    pub ends: BTreeMap<End, u64>,
+}
+
+impl Counters {
+    /// Requests that wait for their answer.
+    pub fn open(&self) -> u64 {
+        self.taken - self.served - self.refused - self.failed - self.gone
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Counters { taken, served, refused, failed, gone, attempts, withdrawn, probes, .. } = self;
+        write!(f, "taken {taken} served {served} refused {refused} failed {failed} gone {gone} ")?;
+        write!(f, "open {} attempts {attempts} withdrawn {withdrawn} probes {probes} ", self.open())?;
+        write!(f, "stopped {} stray {} ends", self.stopped, self.stray)?;
+        self.ends.iter().try_for_each(|(end, n)| write!(f, " {end:?}:{n}"))
+    }
+}
--- /dev/null
+++ b/src/manager/mod.rs
@@ -0,0 +1,473 @@
+//! The core: drives the decision module and knows no wire.
+//!
+//! It owns the open requests, their attempts, the timers, and the ledger of the rules: one final answer each,
+//! at most the stated attempts, never two out, nothing to what drains, and outcomes that say exactly what is
+//! known. Fronts hand in [`Ask`]s, engines hand in [`Ended`]s; out come [`Order`]s.
+pub mod counters;
+pub mod ends;
+
+use crate::clock::{Micros, micros, nanos};
+use crate::decide::Gateway;
+use crate::interface::*;
+use crate::statement;
+use counters::Counters;
+use ends::{End, Reach, never_ran, outcome};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::rc::Rc;
+
+/// Which connection of which front a request came from, and the front's own mark for it there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The connection.
+    pub conn: u64,
+    /// The request on it.
+    pub tag: u64,
+}
+
+/// A request, as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Where the answer goes.
+    pub origin: Origin,
+    /// The client's name for the request, passed on unchanged.
+    pub key: Rc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// When the client stops waiting.
+    pub give_up_at: Micros,
+    /// The estimate of its work.
+    pub cost: Option<Micros>,
+    /// The estimate of its memory.
+    pub memory_mb: Option<f64>,
+    /// The client said that it tried before.
+    pub repeated: bool,
+    /// What to run.
+    pub statement: Rc<[u8]>,
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Its time was up.
+    Deadline,
+    /// Its last attempt ended so.
+    Attempt(End),
+    /// It was never sent.
+    NotSent,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All rows, as text with tabs and line feeds.
+    Served(Vec<u8>),
+    /// Trying again is harmless; after so long, if advice is given.
+    Refused(Option<Micros>),
+    /// Nothing is promised.
+    Failed(Failure),
+}
+
+/// An attempt to start.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+    /// The client's name for the request.
+    pub key: Rc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// What to run.
+    pub statement: Rc<[u8]>,
+    /// When nobody waits for it any more.
+    pub until: Micros,
+    /// Memory to grant in MB; 0 leaves it to the engine.
+    pub memory_mb: f64,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Start an attempt.
+    Start(EngineId, Job),
+    /// Give up an attempt; its end comes back.
+    Stop(EngineId, RequestId, AttemptNo),
+    /// Probe an engine.
+    Probe(EngineId),
+    /// Close idle connections to an engine.
+    CloseIdle(EngineId),
+    /// Give a final answer.
+    Answer(Origin, Answer),
+    /// A line of the module for the log.
+    Log(String),
+}
+
+/// An attempt that ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+    /// How.
+    pub end: End,
+    /// How much of it went out.
+    pub reach: Reach,
+    /// With [`End::Done`]: the rows.
+    pub rows: Vec<u8>,
+    /// The engine's load, where told.
+    pub load: LoadReport,
+}
+
+struct Out {
+    engine: EngineId,
+    attempt: AttemptNo,
+    sent_at: Micros,
+    until: Micros,
+    /// Asked to stop: by the module, or since its time was up.
+    stopping: Option<End>,
+}
+
+struct Open {
+    ask: Ask,
+    sends: u16,
+    out: Option<Out>,
+    /// The first attempt that may have run, if any did.
+    may_have_run: bool,
+    memory_mb: f64,
+    last_end: Option<End>,
+    /// The final answer was given, or the client left.
+    closed: bool,
+}
+
+/// How long after a client's deadline the core waits for the module's answer before it gives its own.
+const GUARD: Micros = 25_000;
+
+/// The core.
+pub struct Manager {
+    module: Gateway,
+    classes: Vec<ClassSpec>,
+    send_cap: u16,
+    engines: BTreeMap<EngineId, Readiness>,
+    open: BTreeMap<RequestId, Open>,
+    origins: BTreeMap<Origin, RequestId>,
+    deadlines: BTreeSet<(Micros, RequestId)>,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    next_id: u32,
+    acts: Vec<Action>,
+    /// What happened so far.
+    pub counters: Counters,
+}
+
+impl Manager {
+    /// A core that knows nothing but its settings.
+    pub fn new(now: Micros, settings: Settings, seed: u64) -> Manager {
+        Manager {
+            classes: settings.classes.clone(),
+            send_cap: settings.limits.send_cap.clamp(1, u32::from(u16::MAX)) as u16,
+            module: Gateway::new(nanos(now), settings, seed),
+            engines: BTreeMap::new(),
+            open: BTreeMap::new(),
+            origins: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            timers: BinaryHeap::new(),
+            next_id: 0,
+            acts: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// When the core wants its next turn by itself.
+    pub fn next_due(&self) -> Option<Micros> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        timer.into_iter().chain(deadline).min()
+    }
+
+    fn tell(&mut self, now: Micros, event: Event, orders: &mut Vec<Order>) {
+        let mut acts = std::mem::take(&mut self.acts);
+        self.module.handle(nanos(now), event, &mut acts);
+        acts.drain(..).for_each(|act| self.carry_out(now, act, orders));
+        self.acts = acts;
+    }
+
+    /// News of the list of engines.
+    pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<EngineEntry>, orders: &mut Vec<Order>) {
+        if matches!(kind, ListKind::Cached | ListKind::Full) {
+            self.engines.values_mut().for_each(|readiness| *readiness = Readiness::Gone);
+        }
+        self.engines.extend(entries.iter().map(|e| (e.id, e.readiness)));
+        self.tell(now, Event::List { kind, entries }, orders);
+    }
+
+    /// A request came in.
+    pub fn take(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
+        self.counters.taken += 1;
+        // Guards the rule of one answer: a second request under a mark that is still open would take the
+        // first one's answer.
+        if self.origins.contains_key(&ask.origin) || usize::from(ask.class.0) >= self.classes.len() {
+            self.counters.failed += 1;
+            return orders.push(Order::Answer(ask.origin, Answer::Failed(Failure::NotSent)));
+        }
+        self.next_id = self.next_id.wrapping_add(1);
+        let id = RequestId(self.next_id);
+        let event = Event::Request(NewRequest {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            key: None,
+            give_up_at: nanos(ask.give_up_at),
+            work_hint: ask.cost.map(nanos),
+            memory_hint: ask.memory_mb,
+            group: statement::group(&ask.statement),
+            repeated: ask.repeated,
+        });
+        self.origins.insert(ask.origin, id);
+        self.deadlines.insert((ask.give_up_at + GUARD, id));
+        let open = Open {
+            ask,
+            sends: 0,
+            out: None,
+            may_have_run: false,
+            memory_mb: 0.0,
+            last_end: None,
+            closed: false,
+        };
+        self.open.insert(id, open);
+        self.tell(now, event, orders);
+    }
+
+    /// The client stopped waiting for one request.
+    pub fn withdraw(&mut self, now: Micros, origin: Origin, orders: &mut Vec<Order>) {
+        if let Some(id) = self.origins.remove(&origin) {
+            self.counters.gone += 1;
+            self.leave(now, id, orders);
+        }
+    }
+
+    /// A client's connection ended, with all that was open on it.
+    pub fn hung_up(&mut self, now: Micros, conn: u64, orders: &mut Vec<Order>) {
+        let all = Origin { conn, tag: 0 }..=Origin { conn, tag: u64::MAX };
+        let left: Vec<Origin> = self.origins.range(all).map(|(origin, _)| *origin).collect();
+        left.into_iter().for_each(|origin| self.withdraw(now, origin, orders));
+    }
+
+    fn leave(&mut self, now: Micros, id: RequestId, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.closed = true;
+        self.deadlines.remove(&(open.ask.give_up_at + GUARD, id));
+        self.tell(now, Event::ClientGone(id), orders);
+        self.stop(id, End::Withdrawn, orders);
+        self.forget(id);
+    }
+
+    /// An attempt ended.
+    pub fn ended(&mut self, now: Micros, ended: Ended, orders: &mut Vec<Order>) {
+        let id = ended.id;
+        let known = self.open.get_mut(&id);
+        // Guards against an end that comes twice, as when a time-out crosses an answer: the first one counts.
+        let Some((open, out)) = known
+            .and_then(|open| open.out.take_if(|out| out.attempt == ended.attempt).map(|out| (open, out)))
+        else {
+            self.counters.stray += 1;
+            return;
+        };
+        self.deadlines.remove(&(out.until, id));
+        // An attempt that was given up did not fail: its time was up, or it was called off.
+        let end = match (ended.end, out.stopping) {
+            (End::Withdrawn, Some(why)) => why,
+            (end, _) => end,
+        };
+        *self.counters.ends.entry(end).or_default() += 1;
+        let kind = outcome(end, ended.reach);
+        open.may_have_run |= !never_ran(kind);
+        open.last_end = Some(end);
+        let served = kind == OutcomeKind::Ok && !open.closed;
+        let closed = open.closed || served;
+        if served {
+            self.answer(id, Answer::Served(ended.rows), orders);
+        }
+        let event = Event::Outcome(Outcome {
+            id,
+            attempt: out.attempt,
+            engine: out.engine,
+            kind,
+            latency: nanos(now.saturating_sub(out.sent_at)),
+            closed,
+            work: None,
+            memory_mb: None,
+            load: ended.load,
+        });
+        self.tell(now, event, orders);
+        self.forget(id);
+    }
+
+    /// A probe came back.
+    pub fn probed(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        kind: OutcomeKind,
+        latency: Micros,
+        load: LoadReport,
+        orders: &mut Vec<Order>,
+    ) {
+        self.tell(now, Event::Probed { engine, kind, latency: nanos(latency), load }, orders);
+    }
+
+    /// Timers and deadlines that are due.
+    pub fn due(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|(at, _)| *at <= now) {
+            self.deadlines.remove(&(at, id));
+            let Some(open) = self.open.get_mut(&id) else { continue };
+            if at < open.ask.give_up_at + GUARD {
+                self.stop(id, End::Deadline, orders);
+            } else if !open.closed {
+                // Guards the rule of one answer against an oversight of the module: it is late already.
+                self.counters.stopped += 1;
+                self.fail(id, Failure::Deadline, orders);
+                self.tell(now, Event::ClientGone(id), orders);
+                self.stop(id, End::Deadline, orders);
+                self.forget(id);
+            }
+        }
+        // Only those that are due now: what the module asks for in this turn waits for the next one.
+        let mut tokens = Vec::new();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|Reverse((at, _))| *at <= now) {
+            tokens.push(*token);
+            self.timers.pop();
+        }
+        tokens.into_iter().for_each(|token| self.tell(now, Event::Timer(token), orders));
+    }
+
+    fn carry_out(&mut self, now: Micros, act: Action, orders: &mut Vec<Order>) {
+        match act {
+            Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, orders),
+            Action::Terms { id, memory_mb, .. } => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.memory_mb = memory_mb;
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                let out = self.open.get(&id).and_then(|open| open.out.as_ref());
+                if out.is_some_and(|out| out.attempt == attempt) {
+                    self.counters.withdrawn += 1;
+                    self.stop(id, End::Withdrawn, orders);
+                }
+            }
+            Action::Refuse { id, retry_after } => self.refuse(id, micros(retry_after), orders),
+            Action::Fail { id } => {
+                let why = self.open.get(&id).and_then(|open| open.last_end);
+                let why = match why {
+                    None => Failure::NotSent,
+                    Some(End::Deadline) => Failure::Deadline,
+                    Some(end) => Failure::Attempt(end),
+                };
+                self.fail(id, why, orders);
+            }
+            Action::Timer { after, token } => {
+                self.timers.push(Reverse((now + micros(after).max(1), token)));
+            }
+            Action::Probe { engine } => {
+                self.counters.probes += 1;
+                orders.push(Order::Probe(engine));
+            }
+            Action::CloseIdle { engine } => orders.push(Order::CloseIdle(engine)),
+            Action::Log(line) => orders.push(Order::Log(line)),
+            // Changes come by themselves, and gateways share nothing: there is nobody to ask or tell.
+            Action::Tell { .. } | Action::FetchList | Action::Watch(_) => {}
+        }
+    }
+
+    /// The ledger of the rules on sends. What it stops comes back to the module as 'never sent'.
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        engine: EngineId,
+        timeout: Nanos,
+        orders: &mut Vec<Order>,
+    ) {
+        let ready = self.engines.get(&engine) == Some(&Readiness::Ready);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = AttemptNo(open.sends);
+        open.sends = open.sends.saturating_add(1);
+        let class = &self.classes[usize::from(open.ask.class.0)];
+        let again = class.effect == Effect::Safe || !open.may_have_run;
+        let until = match timeout {
+            0 => open.ask.give_up_at,
+            t => open.ask.give_up_at.min(now + micros(t)),
+        };
+        let may = ready && again && open.sends <= self.send_cap && open.out.is_none() && !open.closed;
+        if !may || until <= now {
+            self.counters.stopped += 1;
+            let (kind, load, closed) = (OutcomeKind::Moot, LoadReport::default(), open.closed);
+            let none =
+                Outcome { id, attempt, engine, kind, latency: 0, closed, work: None, memory_mb: None, load };
+            return self.tell(now, Event::Outcome(none), orders);
+        }
+        self.counters.attempts += 1;
+        open.out = Some(Out { engine, attempt, sent_at: now, until, stopping: None });
+        self.deadlines.insert((until, id));
+        let (key, class, statement) = (open.ask.key.clone(), open.ask.class, open.ask.statement.clone());
+        let memory_mb = open.memory_mb;
+        orders.push(Order::Start(engine, Job { id, attempt, key, class, statement, until, memory_mb }));
+    }
+
+    /// Gives up what is out for a request. Its end comes back from the engine's side, once it is surely given
+    /// up there: until then nothing else may go out for it.
+    fn stop(&mut self, id: RequestId, why: End, orders: &mut Vec<Order>) {
+        let Some(out) = self.open.get_mut(&id).and_then(|open| open.out.as_mut()) else { return };
+        if out.stopping.is_none() {
+            out.stopping = Some(why);
+            self.deadlines.remove(&(out.until, id));
+            orders.push(Order::Stop(out.engine, id, out.attempt));
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, after: Micros, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.closed) else { return };
+        let class = &self.classes[usize::from(open.ask.class.0)];
+        // Guards rule 2: a refusal promises that trying again is harmless.
+        if class.effect != Effect::Safe && (open.may_have_run || open.out.is_some()) {
+            self.counters.stopped += 1;
+            return self.fail(id, Failure::NotSent, orders);
+        }
+        self.counters.refused += 1;
+        self.close(id, Answer::Refused(Some(after).filter(|t| *t > 0)), orders);
+    }
+
+    fn fail(&mut self, id: RequestId, why: Failure, orders: &mut Vec<Order>) {
+        if self.open.get(&id).is_some_and(|open| !open.closed) {
+            self.counters.failed += 1;
+            self.close(id, Answer::Failed(why), orders);
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer, orders: &mut Vec<Order>) {
+        self.counters.served += 1;
+        self.close(id, answer, orders);
+    }
+
+    fn close(&mut self, id: RequestId, answer: Answer, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.closed = true;
+        let (origin, at) = (open.ask.origin, open.ask.give_up_at + GUARD);
+        self.origins.remove(&origin);
+        self.deadlines.remove(&(at, id));
+        orders.push(Order::Answer(origin, answer));
+        self.stop(id, End::Withdrawn, orders);
+        self.forget(id);
+    }
+
+    /// Drops a request that is over and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| open.closed && open.out.is_none()) {
+            self.open.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/coordinator.rs
@@ -0,0 +1,153 @@
+//! The actor of the coordinator: follows its numbered events and comes back after every break.
+use super::list::{Update, parse_record};
+use super::until;
+use crate::clock::{self, MS, Micros, SEC};
+use crate::log;
+use crate::manager::ends::End;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// A frame longer than this is not the protocol: it would hold tens of thousands of engines.
+const MOST_FRAME: usize = 2 * 1024 * 1024;
+/// An empty frame comes each second: a connection without one for so long is dead.
+const SILENT: Micros = 2_500 * MS;
+const CONNECT: Micros = SEC;
+/// Time between tries to connect: doubled from the first to the last.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LAST_PAUSE: Duration = Duration::from_millis(800);
+
+/// A frame.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Frame<'a> {
+    /// Nothing new.
+    Empty,
+    /// An event: its number, whether it holds the whole list, and its records.
+    Event(u64, bool, &'a [[u8; 27]]),
+}
+
+/// Reads the first frame, if it is there whole, and tells its length.
+pub fn frame(input: &[u8]) -> Result<Option<(Frame<'_>, usize)>, End> {
+    let Some((length, rest)) = input.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*length) as usize;
+    if !(9..=MOST_FRAME).contains(&length) {
+        return Err(End::Garbled);
+    }
+    let Some(body) = rest.get(..length) else { return Ok(None) };
+    let number = body.first_chunk::<8>().map_or(0, |n| u64::from_be_bytes(*n));
+    let (records, left) = body[9..].as_chunks::<27>();
+    let frame = match body[8] {
+        0 => Frame::Empty,
+        kind @ (1 | 2) if left.is_empty() => Frame::Event(number, kind == 1, records),
+        _ => return Err(End::Garbled),
+    };
+    Ok(Some((frame, 4 + length)))
+}
+
+/// Where the follower stands.
+pub struct Follower {
+    last: u64,
+    input: Vec<u8>,
+    /// Its connection showed a gap once: the events between are not to be had.
+    gap: bool,
+}
+
+impl Follower {
+    /// One that has the events up to that number.
+    pub fn new(last: u64) -> Follower {
+        Follower { last, input: Vec::new(), gap: false }
+    }
+
+    /// What it writes on a new connection.
+    pub fn hello(&mut self) -> [u8; 8] {
+        self.input.clear();
+        self.last.to_be_bytes()
+    }
+
+    /// Reads what came. Guards against a gap in the numbers: it asks again from the last event it has, and takes
+    /// a second gap at the same place as it is, lest it asks forever.
+    pub fn feed(&mut self, input: &[u8]) -> Result<Vec<Update>, End> {
+        self.input.extend_from_slice(input);
+        let (mut used, mut updates) = (0, Vec::new());
+        let result = loop {
+            match frame(&self.input[used..]) {
+                Ok(None) => break Ok(()),
+                Err(end) => break Err(end),
+                Ok(Some((Frame::Empty, length))) => used += length,
+                Ok(Some((Frame::Event(index, whole, records), length))) => {
+                    used += length;
+                    if index <= self.last {
+                        continue;
+                    }
+                    if index > self.last + 1 && !whole && !self.gap {
+                        self.gap = true;
+                        break Err(End::Dropped);
+                    }
+                    (self.last, self.gap) = (index, false);
+                    let engines = records.iter().filter_map(parse_record).collect();
+                    updates.push(Update { index, whole, engines });
+                }
+            }
+        };
+        self.input.drain(..used);
+        // What was whole before the fault still counts.
+        match result {
+            Err(end) if updates.is_empty() => Err(end),
+            _ => Ok(updates),
+        }
+    }
+}
+
+/// Runs the follower. `heard` is called once the coordinator has spoken.
+pub async fn run(addr: SocketAddr, last: u64, list: Sender<Update>, heard: impl Fn()) {
+    let (mut follower, mut pause) = (Follower::new(last), FIRST_PAUSE);
+    loop {
+        let from = follower.last;
+        let end = follow(addr, &mut follower, &list, &heard).await;
+        log!("the coordinator's connection ended: {end:?}");
+        pause = if follower.last > from { FIRST_PAUSE } else { (pause * 2).min(LAST_PAUSE) };
+        Timer::after(pause).await;
+    }
+}
+
+async fn follow(addr: SocketAddr, follower: &mut Follower, list: &Sender<Update>, heard: &impl Fn()) -> End {
+    let connect = async { Async::<TcpStream>::connect(addr).await.map_err(|_| End::Refused) };
+    let late = async {
+        until(Some(clock::turn() + CONNECT)).await;
+        Err(End::ConnectTimeout)
+    };
+    let mut stream = match or(connect, late).await {
+        Ok(stream) => stream,
+        Err(end) => return end,
+    };
+    if stream.write_all(&follower.hello()).await.is_err() {
+        return End::Reset;
+    }
+    let mut buffer = vec![0; 16 * 1024];
+    loop {
+        let silent_at = clock::turn() + SILENT;
+        let read = async { Some(stream.read(&mut buffer).await) };
+        let silent = async {
+            until(Some(silent_at)).await;
+            None
+        };
+        let n = match or(read, silent).await {
+            None => return End::Silent,
+            Some(Ok(0)) => return End::Closed,
+            Some(Ok(n)) => n,
+            Some(Err(_)) => return End::Reset,
+        };
+        match follower.feed(&buffer[..n]) {
+            Ok(updates) => {
+                for update in updates {
+                    let _ = list.send(update).await;
+                }
+                heard();
+            }
+            Err(end) => return end,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,160 @@
+//! The actor of the module: takes in what all others report, and hands out what the core orders. It never
+//! waits for any of them.
+use super::engine::ToEngine;
+use super::{Shared, until};
+use crate::clock::{self, MS, Micros};
+use crate::interface::{EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind};
+use crate::log;
+use crate::manager::ends::{End, Reach};
+use crate::manager::{Answer, Ask, Ended, Manager, Order, Origin};
+use async_channel::{Receiver, Sender};
+use futures_lite::future::or;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Messages that wait for the module.
+pub const MAILBOX: usize = 4_096;
+/// Messages taken in one turn.
+const TURN_MOST: usize = 256;
+/// How long after it was asked to end the program goes on taking requests: connections that clients are making
+/// then still bring some.
+const LINGER: Micros = 900 * MS;
+
+/// What the module's actor is told.
+pub enum Input {
+    /// A client connected; its answers go there.
+    Opened(u64, Sender<(u64, Answer)>),
+    /// A request.
+    Ask(Ask),
+    /// The client stopped waiting for it.
+    Withdraw(Origin),
+    /// A client's connection ended.
+    HungUp(u64),
+    /// An attempt ended.
+    Ended(Ended),
+    /// A probe came back.
+    Probed {
+        /// The engine.
+        engine: EngineId,
+        /// How.
+        kind: OutcomeKind,
+        /// How long it took.
+        latency: Micros,
+        /// Its load.
+        load: LoadReport,
+    },
+    /// News of the list, and the actors of new engines.
+    List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>),
+    /// Print the counters.
+    Report,
+    /// End once all is answered.
+    Stop,
+}
+
+struct Core {
+    manager: Manager,
+    clients: HashMap<u64, Sender<(u64, Answer)>>,
+    engines: HashMap<EngineId, Sender<ToEngine>>,
+    orders: Vec<Order>,
+    stop_at: Option<Micros>,
+}
+
+/// Runs until it was asked to stop and all is answered.
+pub async fn run(shared: Rc<Shared>, manager: Manager, mailbox: Receiver<Input>) -> Manager {
+    let (clients, engines) = (HashMap::new(), HashMap::new());
+    let mut core = Core { manager, clients, engines, orders: Vec::new(), stop_at: None };
+    loop {
+        let stop_due = core.stop_at.map(|at| at.max(clock::now() + 5 * MS));
+        let due = core.manager.next_due().into_iter().chain(stop_due).min();
+        let message = or(async { mailbox.recv().await.ok() }, async {
+            until(due).await;
+            None
+        });
+        let first = message.await;
+        let now = clock::turn();
+        let more = std::iter::from_fn(|| mailbox.try_recv().ok()).take(TURN_MOST);
+        for input in first.into_iter().chain(more) {
+            core.input(now, input);
+        }
+        core.manager.due(now, &mut core.orders);
+        core.dispatch(now);
+        let quiet = core.manager.counters.open() == 0 && shared.unwritten.get() == 0 && mailbox.is_empty();
+        if quiet && core.stop_at.is_some_and(|at| at <= now) {
+            return core.manager;
+        }
+    }
+}
+
+impl Core {
+    fn input(&mut self, now: Micros, input: Input) {
+        let (manager, orders) = (&mut self.manager, &mut self.orders);
+        match input {
+            Input::Opened(conn, answers) => drop(self.clients.insert(conn, answers)),
+            Input::Ask(ask) => manager.take(now, ask, orders),
+            Input::Withdraw(origin) => manager.withdraw(now, origin, orders),
+            Input::HungUp(conn) => {
+                self.clients.remove(&conn);
+                manager.hung_up(now, conn, orders);
+            }
+            Input::Ended(ended) => manager.ended(now, ended, orders),
+            Input::Probed { engine, kind, latency, load } => {
+                manager.probed(now, engine, kind, latency, load, orders);
+            }
+            Input::List(kind, entries, actors) => {
+                self.engines.extend(actors);
+                manager.list(now, kind, entries, orders);
+            }
+            Input::Report => eprintln!("yokelift: {}", manager.counters),
+            Input::Stop => self.stop_at = Some(self.stop_at.unwrap_or(now + LINGER)),
+        }
+        self.dispatch(now);
+    }
+
+    fn dispatch(&mut self, now: Micros) {
+        while !self.orders.is_empty() {
+            for order in std::mem::take(&mut self.orders) {
+                self.carry_out(now, order);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, order: Order) {
+        match order {
+            Order::Start(engine, job) => {
+                let (id, attempt) = (job.id, job.attempt);
+                if !self.to_engine(engine, ToEngine::Start(job)) {
+                    let (end, reach, load) = (End::Overflow, Reach::Unsent, LoadReport::default());
+                    let ended = Ended { id, attempt, end, reach, rows: Vec::new(), load };
+                    self.manager.ended(now, ended, &mut self.orders);
+                }
+            }
+            Order::Stop(engine, id, attempt) => {
+                if !self.to_engine(engine, ToEngine::Stop(id, attempt)) {
+                    // Guards against a lost word: with the mailbox closed the engine's connections end.
+                    self.engines.get(&engine).map(Sender::close);
+                    log!("the mailbox of engine {} overflowed", engine.0);
+                }
+            }
+            Order::Probe(engine) => {
+                if !self.to_engine(engine, ToEngine::Probe) {
+                    let (kind, load) = (OutcomeKind::Moot, LoadReport::default());
+                    self.manager.probed(now, engine, kind, 0, load, &mut self.orders);
+                }
+            }
+            Order::CloseIdle(engine) => drop(self.to_engine(engine, ToEngine::CloseIdle)),
+            Order::Answer(origin, answer) => {
+                let lost =
+                    self.clients.get(&origin.conn).is_none_or(|c| c.try_send((origin.tag, answer)).is_err());
+                if lost {
+                    // The client has gone, or takes no answers: its connection ends, as its mailbox does.
+                    self.clients.remove(&origin.conn).iter().for_each(|c| _ = c.close());
+                }
+            }
+            Order::Log(line) => log!("module: {line}"),
+        }
+    }
+
+    fn to_engine(&self, engine: EngineId, order: ToEngine) -> bool {
+        self.engines.get(&engine).is_some_and(|actor| actor.try_send(order).is_ok())
+    }
+}
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,320 @@
+//! The actor of one engine and its pool of connections, each with a task of its own.
+use super::core::Input;
+use super::{Held, Shared, until};
+use crate::clock::{self, Micros, SEC};
+use crate::engine::Wire;
+use crate::engine::link::{Event, Link};
+use crate::interface::{AttemptNo, EngineId, LoadReport, OutcomeKind, RequestId};
+use crate::manager::ends::{End, Reach};
+use crate::manager::{Ended, Job};
+use async_channel::{Receiver, Sender, bounded};
+use async_io::Async;
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
+use std::rc::Rc;
+
+/// Orders that wait for an engine's actor, which never waits itself: more than it can ever hold.
+const MAILBOX: usize = 4_096;
+/// Orders that wait for a connection beside those of its attempts.
+const SPARE: usize = 64;
+/// Nothing is written to an engine that does not read for so long.
+const WRITE_STALL: Micros = 5 * SEC;
+
+/// What an engine's actor is told.
+#[derive(Debug)]
+pub enum ToEngine {
+    /// Start an attempt.
+    Start(Job),
+    /// Give one up.
+    Stop(RequestId, AttemptNo),
+    /// Probe.
+    Probe,
+    /// Close idle connections.
+    CloseIdle,
+    /// The engine drains or is gone: nothing new.
+    Drain,
+    /// The engine takes work again.
+    Resume,
+}
+
+/// An engine as its actor knows it.
+pub struct Peer {
+    /// Its id, which alone tells engines apart: addresses are used again.
+    pub id: EngineId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// A connection not made by then has failed.
+    pub connect_timeout: Micros,
+    /// The engine closes connections idle for so long; this side does it sooner, lest a send crosses the close.
+    pub keepalive: Micros,
+}
+
+/// The far end of a connection's task, as the engine's actor sees it.
+struct Handle {
+    orders: Sender<ToEngine>,
+    free: Rc<Cell<usize>>,
+    attempts: Rc<RefCell<BTreeSet<RequestId>>>,
+}
+
+/// Starts the actor of an engine. `wire` makes the protocol of each new connection.
+pub fn spawn<W: Wire + 'static>(
+    shared: &Rc<Shared>,
+    core: Sender<Input>,
+    peer: Peer,
+    wire: impl Fn() -> W + 'static,
+) -> Sender<ToEngine> {
+    let (orders, mailbox) = bounded(MAILBOX);
+    shared.spawn(actor(shared.clone(), core, Rc::new(peer), wire, mailbox));
+    orders
+}
+
+async fn actor<W: Wire + 'static>(
+    shared: Rc<Shared>,
+    core: Sender<Input>,
+    peer: Rc<Peer>,
+    wire: impl Fn() -> W,
+    mailbox: Receiver<ToEngine>,
+) {
+    let mut conns: Vec<Handle> = Vec::new();
+    let mut draining = false;
+    while let Ok(order) = mailbox.recv().await {
+        conns.retain(|c| !c.orders.is_closed());
+        match order {
+            ToEngine::Start(job) if draining => refuse(&core, &job, End::Drained).await,
+            ToEngine::Start(job) => {
+                // The fullest connection with room, so that spare ones fall idle and close.
+                let room = |c: &&Handle| c.free.get() > c.orders.len();
+                let fullest = conns.iter().filter(room).min_by_key(|c| c.free.get());
+                let (id, order) = (job.id, ToEngine::Start(job));
+                let lost = match fullest {
+                    Some(c) => hand_over(c, id, order),
+                    None => {
+                        let c = connect(&shared, &core, &peer, wire());
+                        let lost = hand_over(&c, id, order);
+                        conns.push(c);
+                        lost
+                    }
+                };
+                if let Some(job) = lost {
+                    refuse(&core, &job, End::Overflow).await;
+                }
+            }
+            ToEngine::Stop(id, _) => {
+                let holder = conns.iter().find(|c| c.attempts.borrow().contains(&id));
+                if let Some(c) = holder.filter(|c| c.orders.try_send(order).is_err()) {
+                    // Guards the rule on attempts out: one that can't be given up ends with its connection.
+                    c.orders.close();
+                }
+            }
+            ToEngine::Probe => {
+                let c = match conns.iter().find(|c| c.free.get() > 0) {
+                    Some(c) => c,
+                    None => {
+                        conns.push(connect(&shared, &core, &peer, wire()));
+                        &conns[conns.len() - 1]
+                    }
+                };
+                if c.orders.try_send(order).is_err() {
+                    let (engine, kind) = (peer.id, OutcomeKind::Moot);
+                    let input = Input::Probed { engine, kind, latency: 0, load: LoadReport::default() };
+                    let _ = core.send(input).await;
+                }
+            }
+            ToEngine::CloseIdle => conns.iter().for_each(|c| drop(c.orders.try_send(ToEngine::CloseIdle))),
+            ToEngine::Drain => {
+                draining = true;
+                for c in conns.iter().filter(|c| c.orders.try_send(ToEngine::Drain).is_err()) {
+                    c.orders.close();
+                }
+            }
+            ToEngine::Resume => draining = false,
+        }
+    }
+}
+
+async fn refuse(core: &Sender<Input>, job: &Job, end: End) {
+    let (id, attempt, load) = (job.id, job.attempt, LoadReport::default());
+    let ended = Ended { id, attempt, end, reach: Reach::Unsent, rows: Vec::new(), load };
+    let _ = core.send(Input::Ended(ended)).await;
+}
+
+/// Hands an attempt to a connection; gives it back if the connection's mailbox is full.
+fn hand_over(c: &Handle, id: RequestId, order: ToEngine) -> Option<Job> {
+    match c.orders.try_send(order) {
+        Ok(()) => {
+            c.attempts.borrow_mut().insert(id);
+            None
+        }
+        Err(e) => match e.into_inner() {
+            ToEngine::Start(job) => Some(job),
+            _ => None,
+        },
+    }
+}
+
+fn connect<W: Wire + 'static>(shared: &Rc<Shared>, core: &Sender<Input>, peer: &Rc<Peer>, wire: W) -> Handle {
+    let (orders, mailbox) = bounded(wire.streams() * 2 + SPARE);
+    let (free, attempts) = (Rc::new(Cell::new(wire.streams())), Rc::default());
+    let handle = Handle { orders, free: Rc::clone(&free), attempts: Rc::clone(&attempts) };
+    let (shared, core, peer) = (shared.clone(), core.clone(), peer.clone());
+    let executor = shared.executor.clone();
+    let task = async move {
+        let link = Link::new(clock::turn(), wire);
+        let conn = Connection { link, mailbox, core, peer, free, attempts, events: Vec::new() };
+        conn.run(&shared).await;
+    };
+    executor.spawn(task).detach();
+    handle
+}
+
+struct Connection<W> {
+    link: Link<W>,
+    mailbox: Receiver<ToEngine>,
+    core: Sender<Input>,
+    peer: Rc<Peer>,
+    free: Rc<Cell<usize>>,
+    attempts: Rc<RefCell<BTreeSet<RequestId>>>,
+    events: Vec<Event>,
+}
+
+enum Turn {
+    Order(Option<ToEngine>),
+    Connected(io::Result<Async<TcpStream>>),
+    Read(io::Result<usize>),
+    Wrote(io::Result<usize>),
+    Due,
+}
+
+impl<W: Wire> Connection<W> {
+    async fn run(mut self, shared: &Shared) {
+        let socket = Held::new(&shared.engine_sockets, shared.most_engine_sockets);
+        let end = match socket {
+            Some(_) => self.serve().await,
+            None => End::Overflow,
+        };
+        let now = clock::turn();
+        self.mailbox.close();
+        self.link.close(now, end, &mut self.events);
+        // What came too late for this connection never went out.
+        while let Ok(order) = self.mailbox.try_recv() {
+            if let ToEngine::Start(job) = order {
+                refuse(&self.core, &job, end).await;
+            }
+        }
+        self.report().await;
+    }
+
+    async fn serve(&mut self) -> End {
+        let stream = match self.make().await {
+            Ok(stream) => stream,
+            Err(end) => return end,
+        };
+        let _ = stream.get_ref().set_nodelay(true);
+        let mut buffer = vec![0; 16 * 1024];
+        let mut written_at = clock::now();
+        loop {
+            if let Some(end) = self.link.over() {
+                return end;
+            }
+            self.report().await;
+            let idle_at = self.link.idle_since().map(|at| at + self.peer.keepalive * 3 / 4);
+            let writing = self.link.to_write().is_some();
+            let stalled_at = writing.then_some(written_at + WRITE_STALL);
+            let due = self.link.next_due().into_iter().chain(idle_at).chain(stalled_at).min();
+            let (mut reader, mut writer) = (&stream, &stream);
+            let to_write = self.link.to_write();
+            let order = async { Turn::Order(self.mailbox.recv().await.ok()) };
+            let write = async {
+                match to_write {
+                    Some(bytes) => Turn::Wrote(writer.write(bytes).await),
+                    None => std::future::pending().await,
+                }
+            };
+            let read = async { Turn::Read(reader.read(&mut buffer).await) };
+            let timer = async {
+                until(due).await;
+                Turn::Due
+            };
+            let turn = or(order, or(write, or(read, timer))).await;
+            let now = clock::turn();
+            if !writing {
+                written_at = now;
+            }
+            match turn {
+                Turn::Order(None) => return End::Dropped,
+                Turn::Order(Some(ToEngine::CloseIdle)) if idle_at.is_some() => return End::Idle,
+                Turn::Order(Some(order)) => self.order(now, order),
+                Turn::Wrote(Ok(n)) => {
+                    self.link.wrote(now, n);
+                    written_at = now;
+                }
+                Turn::Read(Ok(n)) => self.link.read(now, &buffer[..n], &mut self.events),
+                Turn::Read(Err(_)) | Turn::Wrote(Err(_)) => return End::Reset,
+                Turn::Due if idle_at.is_some_and(|at| at <= now) => return End::Idle,
+                Turn::Due if stalled_at.is_some_and(|at| at <= now) => return End::Silent,
+                Turn::Due => self.link.due(now, &mut self.events),
+                Turn::Connected(_) => {}
+            }
+        }
+    }
+
+    /// Makes the connection. Orders are obeyed meanwhile: a drain that comes now takes back what waits.
+    async fn make(&mut self) -> Result<Async<TcpStream>, End> {
+        let mut connecting = pin!(Async::<TcpStream>::connect(self.peer.addr));
+        let give_up_at = clock::turn() + self.peer.connect_timeout;
+        loop {
+            self.report().await;
+            let order = async { Turn::Order(self.mailbox.recv().await.ok()) };
+            let connected = async { Turn::Connected(connecting.as_mut().await) };
+            let timer = async {
+                until(Some(give_up_at)).await;
+                Turn::Due
+            };
+            let turn = or(order, or(connected, timer)).await;
+            let now = clock::turn();
+            match turn {
+                Turn::Order(None) => return Err(End::Dropped),
+                Turn::Order(Some(order)) => self.order(now, order),
+                Turn::Connected(Ok(stream)) => return Ok(stream),
+                Turn::Connected(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                    return Err(End::Refused);
+                }
+                Turn::Connected(Err(_)) => return Err(End::Unreachable),
+                Turn::Due => return Err(End::ConnectTimeout),
+                Turn::Read(_) | Turn::Wrote(_) => {}
+            }
+        }
+    }
+
+    fn order(&mut self, now: Micros, order: ToEngine) {
+        match order {
+            ToEngine::Start(job) => self.link.start(now, &job),
+            ToEngine::Stop(id, attempt) => self.link.stop(now, id, attempt, &mut self.events),
+            ToEngine::Probe => self.link.probe(now),
+            ToEngine::Drain => self.link.drain(now, &mut self.events),
+            ToEngine::CloseIdle | ToEngine::Resume => {}
+        }
+    }
+
+    /// Passes on what happened. Waiting for room in the module's mailbox holds back this connection alone.
+    async fn report(&mut self) {
+        for event in std::mem::take(&mut self.events) {
+            let input = match event {
+                Event::Ended(ended) => {
+                    self.attempts.borrow_mut().remove(&ended.id);
+                    Input::Ended(ended)
+                }
+                Event::Probed { kind, latency, load } => {
+                    Input::Probed { engine: self.peer.id, kind, latency, load }
+                }
+            };
+            let _ = self.core.send(input).await;
+        }
+        self.free.set(self.link.free());
+    }
+}
--- /dev/null
+++ b/src/net/list.rs
@@ -0,0 +1,201 @@
+//! The actor of the list of engines: applies what the coordinator tells, keeps one actor for each engine, and
+//! passes the news on to the module.
+use super::Shared;
+use super::core::Input;
+use super::engine::{Peer, ToEngine, spawn};
+use crate::clock::micros;
+use crate::config::Names;
+use crate::engine::platform::Platform;
+use crate::interface::{CellId, EngineEntry, EngineId, KindId, ListKind, Nanos, Readiness, ZoneId};
+use async_channel::{Receiver, Sender};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+/// Messages that wait for the list's actor.
+pub const MAILBOX: usize = 64;
+
+/// An engine in the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// What the module is told of it.
+    pub entry: EngineEntry,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// A numbered event of the coordinator.
+#[derive(Clone, Debug)]
+pub struct Update {
+    /// Its number.
+    pub index: u64,
+    /// The whole list, or what has changed.
+    pub whole: bool,
+    /// The engines it names.
+    pub engines: Vec<Listed>,
+}
+
+/// Starts the actor of one engine.
+pub type MakeEngine = Box<dyn Fn(&Listed) -> Sender<ToEngine>>;
+
+/// How engines of the platform are made.
+pub fn platform_engines(shared: Rc<Shared>, core: Sender<Input>, names: Rc<Names>) -> MakeEngine {
+    Box::new(move |listed| {
+        let (connect_timeout, keepalive) = (micros(names.connect_timeout), micros(names.keepalive));
+        let peer = Peer { id: listed.entry.id, addr: listed.addr, connect_timeout, keepalive };
+        let names = names.clone();
+        spawn(&shared, core.clone(), peer, move || Platform::new(names.clone()))
+    })
+}
+
+struct Known {
+    listed: Listed,
+    actor: Sender<ToEngine>,
+}
+
+/// Runs the list. `cached` says that the first update is what the module knew before it started.
+pub async fn run(core: Sender<Input>, mailbox: Receiver<Update>, make: MakeEngine) {
+    let mut known: BTreeMap<EngineId, Known> = BTreeMap::new();
+    let mut first = true;
+    while let Ok(update) = mailbox.recv().await {
+        let mut made = Vec::new();
+        if update.whole {
+            let named = |id| update.engines.iter().any(|l| l.entry.id == id);
+            let left = known.values_mut().filter(|k| !named(k.listed.entry.id));
+            left.for_each(|k| mark(k, Readiness::Gone));
+        }
+        for listed in &update.engines {
+            let id = listed.entry.id;
+            // An engine is its id. Under another address it is another process: the old one's connections end
+            // with what is on them, and the new one gets its own.
+            let same = known.get(&id).is_some_and(|k| k.listed.addr == listed.addr && !k.actor.is_closed());
+            if !same && listed.entry.readiness != Readiness::Gone {
+                if let Some(old) = known.get_mut(&id) {
+                    mark(old, Readiness::Gone);
+                }
+                let actor = make(listed);
+                made.push((id, actor.clone()));
+                known.insert(id, Known { listed: *listed, actor });
+            }
+            if let Some(k) = known.get_mut(&id) {
+                mark(k, listed.entry.readiness);
+                k.listed = *listed;
+            }
+        }
+        let kind = match (update.whole, first) {
+            (true, true) => ListKind::Cached,
+            (true, false) => ListKind::Full,
+            (false, _) => ListKind::Changes,
+        };
+        first = false;
+        let entries = update.engines.iter().map(|l| l.entry).collect();
+        let _ = core.send(Input::List(kind, entries, made)).await;
+    }
+}
+
+/// Tells an engine's actor first, and the module after it: nothing that waits to go out outlives the news.
+fn mark(k: &mut Known, readiness: Readiness) {
+    let was = std::mem::replace(&mut k.listed.entry.readiness, readiness);
+    let order = match readiness {
+        Readiness::Ready if was != Readiness::Ready => ToEngine::Resume,
+        Readiness::Draining | Readiness::Gone if was == Readiness::Ready => ToEngine::Drain,
+        _ => return,
+    };
+    if k.actor.try_send(order).is_err() {
+        k.actor.close();
+    }
+}
+
+/// An entry, whatever form it came in. `started_ms` is a Unix time; the clock of the module counts from there.
+pub fn listed(
+    id: u32,
+    addr: SocketAddr,
+    readiness: Readiness,
+    (zone, kind, cell): (u16, u16, u16),
+    weight: f64,
+    started_ms: u64,
+) -> Listed {
+    let (id, zone, kind, cell) = (EngineId(u64::from(id)), ZoneId(zone), KindId(kind), CellId(cell));
+    let ready_at: Nanos = started_ms.saturating_mul(1_000_000);
+    Listed { entry: EngineEntry { id, zone, kind, cell, readiness, weight, ready_at }, addr }
+}
+
+#[derive(Deserialize)]
+struct KnownText {
+    index: u64,
+    updates: Vec<UpdateText>,
+}
+
+#[derive(Deserialize)]
+struct UpdateText {
+    index: u64,
+    endpoints: Endpoints,
+}
+
+#[derive(Deserialize)]
+struct Endpoints {
+    #[serde(default)]
+    full: bool,
+    #[serde(default)]
+    servers: Vec<ServerText>,
+}
+
+#[derive(Deserialize)]
+struct ServerText {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u16,
+    state: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    started_ms: u64,
+}
+
+/// Reads the events that a start is told, and the number of the last one.
+pub fn parse_known(known: &Value, names: &Names) -> Result<(u64, Vec<Update>), String> {
+    let text = KnownText::deserialize(known).map_err(|e| format!("known: {e}"))?;
+    let place = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0) as u16;
+    let server = |s: &ServerText| {
+        let id = s.id.strip_prefix("s-").and_then(|hex| u32::from_str_radix(hex, 16).ok());
+        let id = id.ok_or_else(|| format!("known: {:?} is no id", s.id))?;
+        let readiness = match s.state.as_str() {
+            "in_service" => Readiness::Ready,
+            "terminating" => Readiness::Draining,
+            "terminated" => Readiness::Gone,
+            other => return Err(format!("known: unknown state {other:?}")),
+        };
+        let place = (place(&names.zones, &s.zone), place(&names.kinds, &s.kind), s.cell);
+        Ok(listed(id, s.addr, readiness, place, s.weight, s.started_ms))
+    };
+    let update = |(at, u): (usize, &UpdateText)| {
+        let engines = u.endpoints.servers.iter().map(server).collect::<Result<_, String>>()?;
+        Ok(Update { index: u.index, whole: u.endpoints.full || at == 0, engines })
+    };
+    let updates = text.updates.iter().enumerate().map(update).collect::<Result<_, String>>()?;
+    Ok((text.index, updates))
+}
+
+/// Reads one record of the coordinator's frames.
+pub fn parse_record(record: &[u8; 27]) -> Option<Listed> {
+    let u16_at = |at: usize| u16::from_be_bytes([record[at], record[at + 1]]);
+    let u32_at = |at: usize| u32::from_be_bytes([record[at], record[at + 1], record[at + 2], record[at + 3]]);
+    let ip = Ipv4Addr::from(u32_at(4));
+    let readiness = match record[10] {
+        0 => Readiness::Ready,
+        1 => Readiness::Draining,
+        2 => Readiness::Gone,
+        _ => return None,
+    };
+    let place = (u16::from(record[11]), u16::from(record[12]), u16_at(13));
+    let started = (u64::from(u32_at(19)) << 32) | u64::from(u32_at(23));
+    let weight = f64::from(u32_at(15)) / 1000.0;
+    Some(listed(u32_at(0), SocketAddr::from((ip, u16_at(8))), readiness, place, weight, started))
+}
