--- a/src/decide.rs
+++ b/src/decide.rs
@@ -146,6 +146,19 @@
         g
     }
 
+    /// The tenants' shares changed, or tenants came: what each has saved up of its quota stays.
+    pub fn set_tenants(&mut self, tenants: &[TenantSpec]) {
+        for (at, t) in tenants.iter().enumerate() {
+            match self.tenants.get_mut(at) {
+                Some(known) => known.quota = t.quota_per_s,
+                None => {
+                    let (tokens, filled_at) = (QUOTA_LEAST, self.turn_at);
+                    self.tenants.push(Tenant { quota: t.quota_per_s, tokens, filled_at });
+                }
+            }
+        }
+    }
+
     /// Takes in one event and appends what to do about it.
     pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
         if !self.started {
@@ -666,7 +679,8 @@
             if let Some(t) = self.tenants.get_mut(usize::from(r.ask.tenant.0)).filter(|_| !r.over_share) {
                 t.tokens += 1.0;
             }
-            let limit = if self.s.limits.retry_after { self.s.limits.max_retry_after } else { 0 };
+            // Said even where clients are not known to heed it: it is all that a refusal has to offer.
+            let limit = self.s.limits.max_retry_after;
             // Not before what waits now has had its time, and spread, lest all come back at once.
             let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
             let wait = secs(come_back).max(self.fleet.backlog) * spread;
--- /dev/null
+++ b/src/engine/clickhouse.rs
@@ -0,0 +1,197 @@
+//! Engines that speak the ClickHouse HTTP interface: one query at a time on a connection that is kept alive.
+use super::{Said, Wire};
+use crate::clock::{MS, Micros, SEC};
+use crate::http::{self, Body, Head};
+use crate::interface::{LoadReport, OutcomeKind, RequestId};
+use crate::manager::Job;
+use crate::manager::ends::End;
+use std::rc::Rc;
+
+/// An answer longer than this is not gathered.
+const MOST_ROWS: usize = 1024 * 1024;
+/// The code of an engine that has too many queries: it has not looked at this one.
+const TOO_MANY_QUERIES: u32 = 202;
+/// An exception's text in a body begins so.
+const CODE: &[u8] = b"Code: ";
+
+/// Who the manager is to an engine.
+#[derive(Clone, Debug, Default)]
+pub struct Login {
+    /// The user; empty for none.
+    pub user: String,
+    /// The user's key.
+    pub key: String,
+}
+
+enum Asked {
+    Query(RequestId),
+    Ping,
+    /// Given up: what comes is for nobody.
+    Nobody,
+}
+
+/// One connection to a ClickHouse engine.
+pub struct ClickHouse {
+    login: Rc<Login>,
+    asked: Option<Asked>,
+    input: Vec<u8>,
+    answer: Option<(Head, Body)>,
+    rows: Vec<u8>,
+    reusable: bool,
+}
+
+impl ClickHouse {
+    /// A new connection.
+    pub fn new(login: Rc<Login>) -> ClickHouse {
+        let (input, rows) = (Vec::new(), Vec::new());
+        ClickHouse { login, asked: None, input, answer: None, rows, reusable: true }
+    }
+
+    fn headers(&self) -> String {
+        let Login { user, key } = &*self.login;
+        let login = match user.is_empty() {
+            true => String::new(),
+            false => format!("X-ClickHouse-User: {user}\r\nX-ClickHouse-Key: {key}\r\n"),
+        };
+        format!("Host: engine\r\nUser-Agent: yokelift\r\n{login}")
+    }
+
+    /// An answer is whole: what does it say?
+    fn whole(&mut self, said: &mut Vec<Said>) {
+        let Some((head, _)) = self.answer.take() else { return };
+        let rows = std::mem::take(&mut self.rows);
+        self.reusable &= head.keeps_alive(&head.first[0]);
+        let code = head.field("x-clickhouse-exception-code").and_then(|c| c.parse().ok());
+        // Some versions write a late error behind the rows and end the body as if all were well.
+        let lines = rows.strip_suffix(b"\n").unwrap_or(&rows);
+        let last = lines.rsplit(|c| *c == b'\n').next().unwrap_or_default();
+        let late = || Some(last).filter(|l| contains(l, b". DB::Exception: ")).and_then(code_in);
+        let code = code.or_else(|| if head.first[1] == "200" { late() } else { code_in(&rows) });
+        let load = LoadReport::default();
+        match (self.asked.take(), head.first[1].as_str(), code) {
+            (Some(Asked::Query(id)), "200", None) => said.push(Said::Ended(id, End::Done, rows, load)),
+            // Its own word that it took nothing on. Any other error may come after the query began.
+            (Some(Asked::Query(id)), "503", Some(TOO_MANY_QUERIES)) => {
+                said.push(Said::Ended(id, End::Full, Vec::new(), load));
+            }
+            (Some(Asked::Query(id)), _, _) => said.push(Said::Ended(id, End::Broke, Vec::new(), load)),
+            (Some(Asked::Ping), "200", _) => said.push(Said::Probed(OutcomeKind::Ok, load)),
+            (Some(Asked::Ping), _, _) => said.push(Said::Probed(OutcomeKind::Error, load)),
+            (Some(Asked::Nobody) | None, _, _) => {}
+        }
+    }
+
+    fn end(&mut self, end: End, said: &mut Vec<Said>) {
+        self.reusable = false;
+        if let Some(Asked::Query(id)) = self.asked.take() {
+            said.push(Said::Ended(id, end, Vec::new(), LoadReport::default()));
+        }
+    }
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.windows(part.len()).any(|w| w == part)
+}
+
+fn code_in(body: &[u8]) -> Option<u32> {
+    let digits = body.strip_prefix(CODE)?;
+    let end = digits.iter().position(|c| !c.is_ascii_digit())?;
+    std::str::from_utf8(&digits[..end]).ok()?.parse().ok()
+}
+
+impl Wire for ClickHouse {
+    fn streams(&self) -> usize {
+        1
+    }
+
+    fn start(&mut self, now: Micros, job: &Job) -> Vec<u8> {
+        let seconds = job.until.saturating_sub(now).max(MS) as f64 / SEC as f64;
+        let session = job.session.as_deref();
+        let id = session.and_then(|s| s.query_id.as_deref()).unwrap_or(&job.key);
+        let id = http::escape(id);
+        let mut path = format!("/?query_id={id}&max_execution_time={seconds:.3}&default_format=TabSeparated");
+        // So an error shows in the status where it can, and a closed connection ends a query that only reads.
+        path += "&wait_end_of_query=1&cancel_http_readonly_queries_on_client_close=1";
+        if let Some(database) = session.and_then(|s| s.database.as_deref()) {
+            path += &format!("&database={}", http::escape(database));
+        }
+        if job.memory_mb > 0.0 {
+            path += &format!("&max_memory_usage={}", (job.memory_mb.ceil() as u64).saturating_mul(1 << 20));
+        }
+        self.asked = Some(Asked::Query(job.id));
+        let (headers, length) = (self.headers(), job.statement.len());
+        let head = format!("POST {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&job.statement);
+        bytes
+    }
+
+    /// Only closing the connection gives a query up.
+    fn stop(&mut self, _: RequestId) -> Option<Vec<u8>> {
+        self.asked = Some(Asked::Nobody);
+        self.reusable = false;
+        None
+    }
+
+    fn probe(&mut self) -> Vec<u8> {
+        self.asked = Some(Asked::Ping);
+        format!("GET /ping HTTP/1.1\r\n{}\r\n", self.headers()).into_bytes()
+    }
+
+    fn feed(&mut self, input: &[u8], said: &mut Vec<Said>, _: &mut Vec<u8>) -> Result<(), End> {
+        self.input.extend_from_slice(input);
+        while !self.input.is_empty() {
+            if self.answer.is_none() {
+                let Some((head, used)) = http::head(&self.input).map_err(|_| End::Garbled)? else { break };
+                let version = head.first[0].as_str();
+                // An answer that nobody asked for: the two sides no longer agree on what belongs to what.
+                if self.asked.is_none() || !matches!(version, "HTTP/1.1" | "HTTP/1.0") {
+                    return Err(End::Garbled);
+                }
+                self.input.drain(..used);
+                if head.first[1].starts_with('1') {
+                    continue;
+                }
+                let bare = matches!(head.first[1].as_str(), "204" | "304");
+                let without = if bare { Body::Length(0) } else { Body::UntilClose };
+                let body = head.body(without).map_err(|_| End::Garbled)?;
+                self.answer = Some((head, body));
+            }
+            let Some((_, body)) = &mut self.answer else { break };
+            match body.read(&self.input, &mut self.rows, MOST_ROWS) {
+                Ok((used, whole)) => {
+                    self.input.drain(..used);
+                    match whole {
+                        true => self.whole(said),
+                        false => break,
+                    }
+                }
+                Err(http::Fault::BodyTooLong) => {
+                    self.end(End::Broke, said);
+                    return Err(End::Dropped);
+                }
+                Err(_) => return Err(End::Garbled),
+            }
+        }
+        // A body of no bytes is whole with its head.
+        if let Some((_, Body::Length(0))) = self.answer {
+            self.whole(said);
+        }
+        Ok(())
+    }
+
+    /// Guards against a cut-off answer that passes for a whole one: only a body with no length of its own may
+    /// end with the connection; one that promised more has failed.
+    fn finish(&mut self, said: &mut Vec<Said>) {
+        match self.answer {
+            Some((_, Body::UntilClose)) => self.whole(said),
+            Some(_) => self.end(End::Broke, said),
+            None => {}
+        }
+        self.reusable = false;
+    }
+
+    fn reusable(&self) -> bool {
+        self.reusable
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -1,4 +1,5 @@
 //! Wires to engines: parsers and mapping only. The sockets are in `src/net`.
+pub mod clickhouse;
 pub mod link;
 pub mod platform;
 
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -148,6 +148,7 @@
             repeated: matches!(&params.retry, Value::Bool(true))
                 || params.retry.as_u64().is_some_and(|n| n > 0),
             statement: statement.into(),
+            session: None,
         })
     }
 }
@@ -188,7 +189,7 @@
         if self.input.len() > MOST_LINE { Err(End::Garbled) } else { Ok(()) }
     }
 
-    fn answer(&mut self, _: Micros, tag: u64, answer: Answer, replies: &mut Vec<u8>) {
+    fn answer(&mut self, _: Micros, tag: u64, answer: Answer, _: &mut Vec<Said>, replies: &mut Vec<u8>) {
         // Withdrawn a moment ago: no answer is owed.
         if !self.open.remove(&tag) {
             return;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,4 +1,5 @@
 //! The fronts: parsers and mapping between a client's protocol and the core. The sockets are in `src/net`.
+pub mod clickhouse;
 pub mod jsonrpc;
 
 use crate::clock::Micros;
@@ -23,8 +24,8 @@
         said: &mut Vec<Said>,
         replies: &mut Vec<u8>,
     ) -> Result<(), End>;
-    /// Words the final answer to the request with that mark.
-    fn answer(&mut self, now: Micros, tag: u64, answer: Answer, replies: &mut Vec<u8>);
+    /// Words the final answer to the request with that mark, and reads on in what waited behind it.
+    fn answer(&mut self, now: Micros, tag: u64, answer: Answer, said: &mut Vec<Said>, replies: &mut Vec<u8>);
     /// Requests on it that wait for their answer.
     fn open(&self) -> usize;
     /// Whether the connection is to be closed once all is written.
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,35 +6,90 @@
 use async_io::{Async, Timer, block_on};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use yokelift::config::{self, Config};
+use yokelift::deploy::{self, ClassRules, Deploy, Users};
+use yokelift::directory::Tenants;
+use yokelift::engine::clickhouse::Login;
+use yokelift::front::clickhouse::{ClickHouse, Service};
 use yokelift::front::jsonrpc::JsonRpc;
+use yokelift::interface::Readiness;
 use yokelift::manager::Manager;
 use yokelift::net::core::Input;
-use yokelift::net::{Shared, client, coordinator, core, list};
+use yokelift::net::list::Http;
+use yokelift::net::{Shared, client, coordinator, core, directory, list};
 use yokelift::{clock, log};
 
 /// Without a word of the coordinator for so long the list of the start has to do.
 const READY_ANYWAY: Duration = Duration::from_millis(700);
 
-fn serve(config: Config) -> Result<(), String> {
+/// The engines of a deploy file, with the names of the settings.
+fn http_engines(deploy: &Deploy, names: &config::Names) -> Result<Http, String> {
+    let mut http = Http::default();
+    let mut ids = std::collections::BTreeSet::new();
+    for line in &deploy.engines {
+        let id = deploy::engine_id(&line.id)?;
+        ids.insert(id);
+        if let Some(addr) = line.addr {
+            let place = |list: &[String], name: &str| list.iter().position(|n| n == name).unwrap_or(0) as u16;
+            let place = (place(&names.zones, &line.zone), place(&names.kinds, &line.kind), 0);
+            http.fixed.push(list::listed(id.0 as u32, addr, Readiness::Ready, place, 1.0, 0));
+        }
+    }
+    http.engines = Rc::new(ids);
+    http.login = Rc::new(Login { user: deploy.login.user.clone(), key: deploy.login.key.clone() });
+    Ok(http)
+}
+
+/// What all connections of the second front share.
+fn service(
+    deploy: &Deploy,
+    config: &Config,
+    names: &config::Names,
+    shared: &Rc<Shared>,
+) -> Result<Service, String> {
+    let (databases, stopping, next) = (shared.clone(), shared.clone(), Cell::new(config.seed));
+    Ok(Service {
+        rules: ClassRules::new(deploy, names)?,
+        users: RefCell::new(Users::new(deploy, names)?),
+        deadlines: config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect(),
+        loads: config.settings.classes.iter().map(|c| c.is_load).collect(),
+        databases: Box::new(move || databases.databases.get()),
+        stopping: Box::new(move || stopping.stopping.get()),
+        // A walk through all numbers from a place that is new with each start.
+        new_key: Box::new(move || {
+            next.set(next.get().wrapping_add(0x9E37_79B9_7F4A_7C15));
+            format!("{:016x}", next.get())
+        }),
+    })
+}
+
+fn serve(config: Config, deploy: Option<Deploy>) -> Result<(), String> {
     let shared = Shared::new(config.limits.sockets);
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("{}: can't listen on {}: {e}", config.name, config.listen))?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
         .map_err(|e| format!("can't wait for signals: {e}"))?;
-    let names = Rc::new(config.names);
+    let names = Rc::new(config.names.clone());
+    let http = deploy.as_ref().map(|d| http_engines(d, &names)).transpose()?.unwrap_or_default();
+    let second = deploy.as_ref().map(|d| service(d, &config, &names, &shared)).transpose()?.map(Rc::new);
+    let second_listener = deploy.as_ref().map(|d| {
+        Async::<TcpListener>::bind(d.listen).map_err(|e| format!("can't listen on {}: {e}", d.listen))
+    });
+    let second_listener = second_listener.transpose()?;
     let (last, known) = list::parse_known(&config.known, &names)?;
 
+    let tenants = Tenants::new(&names, config.settings.tenants.clone());
     let manager = Manager::new(clock::turn(), config.settings, config.seed);
     let (core, mailbox) = bounded(core::MAILBOX);
     let (updates, list_mailbox) = bounded(list::MAILBOX);
-    let make = list::platform_engines(shared.clone(), core.clone(), names.clone());
-    shared.spawn(list::run(core.clone(), list_mailbox, make));
+    let make = list::engines(shared.clone(), core.clone(), names.clone(), http.clone());
+    shared.spawn(list::run(shared.clone(), core.clone(), list_mailbox, make, http));
     let (flags, feed) = (shared.clone(), updates.clone());
     shared.spawn(async move {
         for update in known {
@@ -49,6 +104,14 @@
     let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.ready.get() && !flags.stopping.get());
     let front = move |conn| JsonRpc::new(conn, names.clone(), ready.clone());
     shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
+    if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
+        if let Some(line) = deploy.directory.clone() {
+            let file = service.users.borrow().clone();
+            shared.spawn(directory::run(line, file, tenants, service.clone(), core.clone()));
+        }
+        let front = move |conn| ClickHouse::new(conn, service.clone());
+        shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
+    }
     let flags = shared.clone();
     shared.spawn(async move {
         while let Some(Ok(signal)) = signals.next().await {
@@ -71,7 +134,12 @@
 
 fn run() -> Result<(), String> {
     let path = std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG names no configuration file")?;
-    serve(config::read(&PathBuf::from(path))?)
+    let mut files = std::env::args_os().skip(1);
+    let deploy = files.next().map(|file| deploy::read(Path::new(&file))).transpose()?;
+    if files.next().is_some() {
+        return Err("use: yokelift [DEPLOY-FILE]".into());
+    }
+    serve(config::read(&PathBuf::from(path))?, deploy)
 }
 
 fn main() -> ExitCode {
--- a/src/manager/counters.rs
+++ b/src/manager/counters.rs
@@ -26,6 +26,8 @@
     pub stopped: u64,
     /// Answers that came too late, or to nothing: dropped.
     pub stray: u64,
+    /// Readings of the directory that failed.
+    pub directory_failures: u64,
     /// How attempts ended.
     pub ends: BTreeMap<End, u64>,
 }
@@ -42,7 +44,8 @@
         let Counters { taken, served, refused, failed, gone, attempts, withdrawn, probes, .. } = self;
         write!(f, "taken {taken} served {served} refused {refused} failed {failed} gone {gone} ")?;
         write!(f, "open {} attempts {attempts} withdrawn {withdrawn} probes {probes} ", self.open())?;
-        write!(f, "stopped {} stray {} ends", self.stopped, self.stray)?;
+        write!(f, "stopped {} stray {} ", self.stopped, self.stray)?;
+        write!(f, "directory-failures {} ends", self.directory_failures)?;
         self.ends.iter().try_for_each(|(end, n)| write!(f, " {end:?}:{n}"))
     }
 }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -25,6 +25,15 @@
     pub tag: u64,
 }
 
+/// What a client's session adds to a statement; not every engine knows of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Session {
+    /// Where names without a schema are looked up.
+    pub database: Option<Rc<str>>,
+    /// The client's own name for the query.
+    pub query_id: Option<Rc<str>>,
+}
+
 /// A request, as a front hands it in.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -46,6 +55,8 @@
     pub repeated: bool,
     /// What to run.
     pub statement: Rc<[u8]>,
+    /// What its session adds.
+    pub session: Option<Rc<Session>>,
 }
 
 /// Why a request failed.
@@ -83,6 +94,8 @@
     pub class: ClassId,
     /// What to run.
     pub statement: Rc<[u8]>,
+    /// What its session adds.
+    pub session: Option<Rc<Session>>,
     /// When nobody waits for it any more.
     pub until: Micros,
     /// Memory to grant in MB; 0 leaves it to the engine.
@@ -204,6 +217,11 @@
         self.tell(now, Event::List { kind, entries }, orders);
     }
 
+    /// The tenants' shares changed.
+    pub fn tenants(&mut self, tenants: &[TenantSpec]) {
+        self.module.set_tenants(tenants);
+    }
+
     /// A request came in.
     pub fn take(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
         self.counters.taken += 1;
@@ -223,7 +241,7 @@
             give_up_at: nanos(ask.give_up_at),
             work_hint: ask.cost.map(nanos),
             memory_hint: ask.memory_mb,
-            group: statement::group(&ask.statement),
+            group: statement::group(&ask.statement, ask.session.as_ref().and_then(|s| s.database.as_deref())),
             repeated: ask.repeated,
         });
         self.origins.insert(ask.origin, id);
@@ -414,8 +432,9 @@
         open.out = Some(Out { engine, attempt, sent_at: now, until, stopping: None });
         self.deadlines.insert((until, id));
         let (key, class, statement) = (open.ask.key.clone(), open.ask.class, open.ask.statement.clone());
-        let memory_mb = open.memory_mb;
-        orders.push(Order::Start(engine, Job { id, attempt, key, class, statement, until, memory_mb }));
+        let (session, memory_mb) = (open.ask.session.clone(), open.memory_mb);
+        let job = Job { id, attempt, key, class, statement, session, until, memory_mb };
+        orders.push(Order::Start(engine, job));
     }
 
     /// Gives up what is out for a request. Its end comes back from the engine's side, once it is surely given
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -76,6 +76,17 @@
     let _ = core.send(Input::HungUp(conn)).await;
 }
 
+/// Waiting for room in the module's mailbox holds back this client alone.
+async fn pass_on(core: &Sender<Input>, conn: u64, said: &mut Vec<Said>) {
+    for said in said.drain(..) {
+        let input = match said {
+            Said::Ask(ask) => Input::Ask(ask),
+            Said::Withdraw(tag) => Input::Withdraw(Origin { conn, tag }),
+        };
+        let _ = core.send(input).await;
+    }
+}
+
 async fn serve(
     shared: &Shared,
     core: &Sender<Input>,
@@ -123,7 +134,8 @@
         match turn {
             Turn::Answer(Some((tag, answer))) => {
                 active_at = if writing { active_at } else { now };
-                front.answer(now, tag, answer, &mut unwritten);
+                front.answer(now, tag, answer, &mut said, &mut unwritten);
+                pass_on(core, conn, &mut said).await;
             }
             Turn::Answer(None) => return End::Overflow,
             Turn::Wrote(Ok(n)) => {
@@ -141,13 +153,7 @@
                 if let Err(end) = front.feed(now, &buffer[..n], &mut said, &mut unwritten) {
                     return end;
                 }
-                for said in said.drain(..) {
-                    let input = match said {
-                        Said::Ask(ask) => Input::Ask(ask),
-                        Said::Withdraw(tag) => Input::Withdraw(Origin { conn, tag }),
-                    };
-                    let _ = core.send(input).await;
-                }
+                pass_on(core, conn, &mut said).await;
             }
             Turn::Read(Err(_)) | Turn::Wrote(Err(_)) => return End::Reset,
             Turn::Due if writing => return End::Silent,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,7 +3,7 @@
 use super::engine::ToEngine;
 use super::{Shared, until};
 use crate::clock::{self, MS, Micros};
-use crate::interface::{EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind};
+use crate::interface::{EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, TenantSpec};
 use crate::log;
 use crate::manager::ends::{End, Reach};
 use crate::manager::{Answer, Ask, Ended, Manager, Order, Origin};
@@ -45,6 +45,10 @@
     },
     /// News of the list, and the actors of new engines.
     List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>),
+    /// The tenants' shares, as the directory has them.
+    Tenants(Vec<TenantSpec>),
+    /// The directory could not be read.
+    DirectoryFailed,
     /// Print the counters.
     Report,
     /// End once all is answered.
@@ -104,6 +108,8 @@
                 self.engines.extend(actors);
                 manager.list(now, kind, entries, orders);
             }
+            Input::Tenants(tenants) => manager.tenants(&tenants),
+            Input::DirectoryFailed => manager.counters.directory_failures += 1,
             Input::Report => eprintln!("yokelift: {}", manager.counters),
             Input::Stop => self.stop_at = Some(self.stop_at.unwrap_or(now + LINGER)),
         }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -52,6 +52,8 @@
     pub connect_timeout: Micros,
     /// The engine closes connections idle for so long; this side does it sooner, lest a send crosses the close.
     pub keepalive: Micros,
+    /// It knows databases, not only qualified names.
+    pub databases: bool,
 }
 
 /// The far end of a connection's task, as the engine's actor sees it.
@@ -86,6 +88,10 @@
         conns.retain(|c| !c.orders.is_closed());
         match order {
             ToEngine::Start(job) if draining => refuse(&core, &job, End::Drained).await,
+            // Guards against a statement that would run on the tables of another database.
+            ToEngine::Start(job) if !peer.databases && names_database(&job) => {
+                refuse(&core, &job, End::Overflow).await;
+            }
             ToEngine::Start(job) => {
                 // The fullest connection with room, so that spare ones fall idle and close.
                 let room = |c: &&Handle| c.free.get() > c.orders.len();
@@ -137,6 +143,10 @@
     }
 }
 
+fn names_database(job: &Job) -> bool {
+    job.session.as_ref().is_some_and(|s| s.database.is_some())
+}
+
 async fn refuse(core: &Sender<Input>, job: &Job, end: End) {
     let (id, attempt, load) = (job.id, job.attempt, LoadReport::default());
     let ended = Ended { id, attempt, end, reach: Reach::Unsent, rows: Vec::new(), load };
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -3,14 +3,15 @@
 use super::Shared;
 use super::core::Input;
 use super::engine::{Peer, ToEngine, spawn};
-use crate::clock::micros;
+use crate::clock::{Micros, SEC, micros};
 use crate::config::Names;
+use crate::engine::clickhouse::{ClickHouse, Login};
 use crate::engine::platform::Platform;
 use crate::interface::{CellId, EngineEntry, EngineId, KindId, ListKind, Nanos, Readiness, ZoneId};
 use async_channel::{Receiver, Sender};
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
@@ -40,12 +41,32 @@
 /// Starts the actor of one engine.
 pub type MakeEngine = Box<dyn Fn(&Listed) -> Sender<ToEngine>>;
 
-/// How engines of the platform are made.
-pub fn platform_engines(shared: Rc<Shared>, core: Sender<Input>, names: Rc<Names>) -> MakeEngine {
+/// The engines that speak the ClickHouse interface, and who the manager is to them.
+#[derive(Clone, Default)]
+pub struct Http {
+    /// Their ids.
+    pub engines: Rc<BTreeSet<EngineId>>,
+    /// User and key.
+    pub login: Rc<Login>,
+    /// Those that the coordinator does not list: always in service.
+    pub fixed: Vec<Listed>,
+}
+
+/// ClickHouse servers of some versions close connections that are idle for this long.
+const HTTP_KEEPALIVE: Micros = 3 * SEC;
+
+/// How engines are made: by the wire they speak.
+pub fn engines(shared: Rc<Shared>, core: Sender<Input>, names: Rc<Names>, http: Http) -> MakeEngine {
     Box::new(move |listed| {
+        let (id, addr) = (listed.entry.id, listed.addr);
         let (connect_timeout, keepalive) = (micros(names.connect_timeout), micros(names.keepalive));
-        let peer = Peer { id: listed.entry.id, addr: listed.addr, connect_timeout, keepalive };
+        if http.engines.contains(&id) {
+            let (login, keepalive) = (http.login.clone(), keepalive.min(HTTP_KEEPALIVE));
+            let peer = Peer { id, addr, connect_timeout, keepalive, databases: true };
+            return spawn(&shared, core.clone(), peer, move || ClickHouse::new(login.clone()));
+        }
         let names = names.clone();
+        let peer = Peer { id, addr, connect_timeout, keepalive, databases: false };
         spawn(&shared, core.clone(), peer, move || Platform::new(names.clone()))
     })
 }
@@ -55,13 +76,21 @@
     actor: Sender<ToEngine>,
 }
 
-/// Runs the list. `cached` says that the first update is what the module knew before it started.
-pub async fn run(core: Sender<Input>, mailbox: Receiver<Update>, make: MakeEngine) {
+/// Runs the list. Its first update is what the module knew before it started.
+pub async fn run(
+    shared: Rc<Shared>,
+    core: Sender<Input>,
+    mailbox: Receiver<Update>,
+    make: MakeEngine,
+    http: Http,
+) {
     let mut known: BTreeMap<EngineId, Known> = BTreeMap::new();
     let mut first = true;
-    while let Ok(update) = mailbox.recv().await {
+    while let Ok(mut update) = mailbox.recv().await {
         let mut made = Vec::new();
         if update.whole {
+            // A whole list of the coordinator does not name the engines of the file.
+            update.engines.extend(&http.fixed);
             let named = |id| update.engines.iter().any(|l| l.entry.id == id);
             let left = known.values_mut().filter(|k| !named(k.listed.entry.id));
             left.for_each(|k| mark(k, Readiness::Gone));
@@ -84,6 +113,11 @@
                 k.listed = *listed;
             }
         }
+        let serving = |k: &&Known| k.listed.entry.readiness == Readiness::Ready;
+        let serving = known.values().filter(serving).map(|k| k.listed.entry.id);
+        shared
+            .databases
+            .set(serving.clone().count() > 0 && serving.clone().all(|id| http.engines.contains(&id)));
         let kind = match (update.whole, first) {
             (true, true) => ListKind::Cached,
             (true, false) => ListKind::Full,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod coordinator;
 pub mod core;
+pub mod directory;
 pub mod engine;
 pub mod list;
 
@@ -33,6 +34,8 @@
     pub unwritten: Cell<usize>,
     /// The next number of a client connection.
     pub next_conn: Cell<u64>,
+    /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
+    pub databases: Cell<bool>,
 }
 
 impl Shared {
@@ -48,6 +51,7 @@
             most_client_sockets: (sockets / 2).max(4),
             unwritten: Cell::new(0),
             next_conn: Cell::new(1),
+            databases: Cell::new(false),
         })
     }
 
--- a/src/statement.rs
+++ b/src/statement.rs
@@ -114,8 +114,15 @@
     WORDS.iter().any(|w| word.eq_ignore_ascii_case(w))
 }
 
-/// The number of the group of tables that a statement reads or writes; 0 if it names none.
-pub fn group(statement: &[u8]) -> u64 {
+/// The bare and the quoted names and the words of a statement, without strings and comments.
+pub fn words(statement: &[u8]) -> Vec<&[u8]> {
+    let name = |token| if let Token::Name(name) = token { Some(name) } else { None };
+    Tokens { rest: statement }.filter_map(name).collect()
+}
+
+/// The number of the group of tables that a statement reads or writes, if need be by the schema that names
+/// without one belong to; 0 if there is none.
+pub fn group(statement: &[u8], schema: Option<&str>) -> u64 {
     let mut tokens = Tokens { rest: statement }.peekable();
     // A qualified name counts at once where tables are named; elsewhere it may be an alias and a column, and
     // counts only if no table has such a name.
@@ -140,7 +147,7 @@
             found => elsewhere = elsewhere.or(found),
         }
     }
-    elsewhere.unwrap_or(0)
+    elsewhere.or_else(|| number(schema?.as_bytes())).unwrap_or(0)
 }
 
 #[cfg(test)]
@@ -164,7 +171,9 @@
             ("/* open from a_1.b", 0),
             ("", 0),
         ] {
-            assert_eq!(group(text.as_bytes()), expected, "{text}");
+            assert_eq!(group(text.as_bytes(), None), expected, "{text}");
         }
+        assert_eq!(group(b"select a from orders", Some("sales_9")), 9);
+        assert_eq!(group(b"select a from b_2.orders", Some("sales_9")), 2);
     }
 }
