Show the ClickHouse front, its engines and the directory against stand-ins

Seen while writing the scenarios: an engine that lost its pages answers an error for each page asked for; the second one ended the next attempt of the same request on the same connection (engine/platform.rs answer()). Checked: the stand-in's record shows one run, ended by an older word. Further attempts now take another connection (Link::stale). An unknown word under an unknown id passed for a late answer; it is garbled now.

--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -13,6 +13,9 @@
 /// A probe without an answer for so long has failed.
 const PROBE_TIME: Micros = 250 * MS;
 
+/// So many requests are remembered whose attempts ended without a whole answer.
+const MOST_STALE: usize = 256;
+
 struct Chunk {
     /// Set while the chunk starts an attempt: then it can be taken back before its first byte.
     starts: Option<RequestId>,
@@ -54,6 +57,8 @@
     quiet_since: Micros,
     /// Nothing was heard since an attempt that was given up went out: it may be cut off. Carries nothing new.
     suspect: bool,
+    /// Ended here otherwise than by a whole answer: more words about them may come.
+    stale: VecDeque<RequestId>,
     over: Option<End>,
 }
 
@@ -68,6 +73,7 @@
             heard_at: now,
             quiet_since: now,
             suspect: false,
+            stale: VecDeque::new(),
             over: None,
         }
     }
@@ -83,6 +89,12 @@
         self.on_it.keys().copied()
     }
 
+    /// Requests whose further attempts need another connection. Guards against a late word about an earlier
+    /// attempt, as an error for each page that was asked for, that would be taken for the end of a later one.
+    pub fn stale(&self) -> impl Iterator<Item = RequestId> {
+        self.stale.iter().copied()
+    }
+
     /// Since when nothing has been open on it, if nothing is.
     pub fn idle_since(&self) -> Option<Micros> {
         let idle = self.on_it.is_empty() && self.probes.is_empty() && self.outbox.is_empty();
@@ -127,6 +139,10 @@
     ) -> Option<Event> {
         let OnIt { attempt, reach, .. } = self.on_it.remove(&id)?;
         self.quiet_since = now;
+        if reach == Reach::Sent && !matches!(end, End::Done | End::Full | End::Past) {
+            self.stale.push_back(id);
+            self.stale.drain(..self.stale.len().saturating_sub(MOST_STALE));
+        }
         Some(Event::Ended(Ended { id, attempt, end, reach, rows, load }))
     }
 
--- a/src/engine/platform.rs
+++ b/src/engine/platform.rs
@@ -70,6 +70,9 @@
         }
         let load = self.load(fields);
         let count = |name| fields.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<usize>().ok());
+        if !matches!(word, "DONE" | "MORE" | "WAIT" | "PAST" | "BROKE" | "KEEP" | "LACK" | "TELL") {
+            return Err(End::Garbled);
+        }
         // An answer to what was given up a moment ago is no fault.
         let Some(running) = self.running.get_mut(key) else { return Ok(()) };
         let id = running.id;
--- a/src/http.rs
+++ b/src/http.rs
@@ -241,7 +241,7 @@
             }
             whole && taken == wire.len() && body == parts.concat()
         }
-        let check = QuickCheck::new().rng(Gen::from_size_and_seed(40, 7)).tests(300);
+        let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(40, 7)).tests(300);
         check.quickcheck(cut as fn(Vec<Vec<u8>>, u8) -> bool);
     }
 
--- /dev/null
+++ b/src/kit/clients.rs
@@ -0,0 +1,117 @@
+//! Stand-in clients of both fronts: one request on a connection of its own, and how it ended.
+use super::engines::read_http;
+use crate::http::{self, Body};
+use async_io::Async;
+use base64::prelude::{BASE64_STANDARD, Engine as _};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpStream};
+
+/// How a request ended, as its client saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// All rows.
+    Served(String),
+    /// Refused, and when to come back in milliseconds, if that was said.
+    Refused(Option<u64>),
+    /// Failed, since its time was up.
+    Deadline,
+    /// Failed, with a code.
+    Failed(i64),
+    /// Not let in, or not understood: a code of JSON-RPC or a status of HTTP.
+    Rejected(i64),
+    /// The connection ended with no whole answer.
+    Cut,
+}
+
+/// Reads one line, or up to the end of the connection.
+pub async fn read_line(stream: &Async<TcpStream>, input: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let mut buffer = vec![0; 8192];
+    loop {
+        if let Some(end) = input.iter().position(|c| *c == b'\n') {
+            return Some(input.drain(..=end).collect());
+        }
+        match (&*stream).read(&mut buffer).await {
+            Ok(n) if n > 0 => input.extend_from_slice(&buffer[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// A request of the platform's protocol, as a line.
+pub fn rpc_line(id: u64, class: &str, key: &str, tenant: &str, wait_ms: u64, statement: &str) -> Vec<u8> {
+    let arg = BASE64_STANDARD.encode(statement);
+    let params = json!({"id": key, "wait": wait_ms, "tenant": tenant, "cost": 50.0, "kb": 8, "arg": arg});
+    let mut line =
+        json!({"jsonrpc": "2.0", "id": id, "method": class, "params": params}).to_string().into_bytes();
+    line.push(b'\n');
+    line
+}
+
+/// What a line of the platform's protocol says.
+pub fn rpc_got(line: &[u8]) -> Got {
+    let Ok(answer) = serde_json::from_slice::<Value>(line) else { return Got::Cut };
+    if let Some(arg) = answer["result"]["arg"].as_str() {
+        let rows = BASE64_STANDARD.decode(arg).unwrap_or_default();
+        return Got::Served(String::from_utf8_lossy(&rows).into_owned());
+    }
+    match answer["error"]["code"].as_i64() {
+        Some(-32050) => Got::Refused(answer["error"]["data"]["after"].as_u64()),
+        Some(-32052) => Got::Deadline,
+        Some(code @ ..=-32600) => Got::Rejected(code),
+        Some(code) => Got::Failed(code),
+        None => Got::Cut,
+    }
+}
+
+/// Sends the lines on a new connection and reads the answer to the last one.
+pub async fn rpc(addr: SocketAddr, lines: &[u8]) -> Got {
+    let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return Got::Cut };
+    if stream.write_all(lines).await.is_err() {
+        return Got::Cut;
+    }
+    let mut input = Vec::new();
+    read_line(&stream, &mut input).await.map_or(Got::Cut, |line| rpc_got(&line))
+}
+
+/// Whether the daemon says that it is ready.
+pub async fn green(addr: SocketAddr) -> bool {
+    let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return false };
+    let asked = stream.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n").await;
+    let mut input = Vec::new();
+    let line = if asked.is_ok() { read_line(&stream, &mut input).await } else { None };
+    line.is_some_and(|line| String::from_utf8_lossy(&line).contains("\"green\":true"))
+}
+
+/// A query over HTTP, as a request with the statement in its body.
+pub fn http_request(user: &str, key: &str, params: &str, statement: &str) -> Vec<u8> {
+    let login = BASE64_STANDARD.encode(format!("{user}:{key}"));
+    let head = format!("POST /?{params} HTTP/1.1\r\nHost: yokelift\r\nAuthorization: Basic {login}\r\n");
+    let chunk = format!("{:x}\r\n{statement}\r\n0\r\n\r\n", statement.len());
+    format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunk}").into_bytes()
+}
+
+/// Sends a request on a new connection and reads its answer.
+pub async fn http(addr: SocketAddr, request: &[u8]) -> Got {
+    let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return Got::Cut };
+    if stream.write_all(request).await.is_err() {
+        return Got::Cut;
+    }
+    match read_http(&stream, &mut Vec::new(), Body::UntilClose).await {
+        Some((head, body)) => http_got(&head, &body),
+        None => Got::Cut,
+    }
+}
+
+/// What an answer over HTTP says.
+pub fn http_got(head: &http::Head, body: &[u8]) -> Got {
+    let code = head.field("x-clickhouse-exception-code").and_then(|c| c.parse::<i64>().ok()).unwrap_or(0);
+    let after = || head.field("retry-after").and_then(|s| s.parse::<u64>().ok()).map(|s| s * 1000);
+    match (head.first[1].as_str(), code) {
+        ("200", _) => Got::Served(String::from_utf8_lossy(body).into_owned()),
+        ("503", 202) => Got::Refused(after()),
+        ("500", 159) => Got::Deadline,
+        ("500" | "503", code) => Got::Failed(code),
+        (status, _) => Got::Rejected(status.parse().unwrap_or(0)),
+    }
+}
--- /dev/null
+++ b/src/kit/coordinator.rs
@@ -0,0 +1,117 @@
+//! A stand-in coordinator: numbered events, sent on to whoever follows.
+use super::{Executor, listener};
+use crate::interface::Readiness;
+use crate::net::list::Listed;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The stand-in.
+pub struct Coordinator {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Events from the second on, as frames; the first is the list that the daemon is given.
+    frames: Rc<RefCell<Vec<Vec<u8>>>>,
+    /// Counts up to break all connections.
+    breaks: Rc<RefCell<u64>>,
+}
+
+fn record(listed: &Listed) -> Vec<u8> {
+    let entry = &listed.entry;
+    let ip = match listed.addr.ip() {
+        IpAddr::V4(ip) => ip.octets(),
+        IpAddr::V6(_) => [0; 4],
+    };
+    let mut out = (entry.id.0 as u32).to_be_bytes().to_vec();
+    out.extend(ip);
+    out.extend(listed.addr.port().to_be_bytes());
+    out.push(match entry.readiness {
+        Readiness::Ready => 0,
+        Readiness::Draining => 1,
+        Readiness::Gone => 2,
+    });
+    out.extend([entry.zone.0 as u8, entry.kind.0 as u8]);
+    out.extend(entry.cell.0.to_be_bytes());
+    out.extend(((entry.weight * 1000.0) as u32).to_be_bytes());
+    out.extend((entry.ready_at / 1_000_000).to_be_bytes());
+    out
+}
+
+fn frame(number: u64, kind: u8, records: &[u8]) -> Vec<u8> {
+    let mut out = (9 + records.len() as u32).to_be_bytes().to_vec();
+    out.extend(number.to_be_bytes());
+    out.push(kind);
+    out.extend(records);
+    out
+}
+
+impl Coordinator {
+    /// Starts one.
+    pub fn start(executor: &Executor) -> Coordinator {
+        let (listener, addr) = listener();
+        let frames: Rc<RefCell<Vec<Vec<u8>>>> = Rc::default();
+        let breaks: Rc<RefCell<u64>> = Rc::default();
+        let (all, broken, spawner) = (frames.clone(), breaks.clone(), executor.clone());
+        let serve = async move {
+            let mut incoming = Box::pin(listener.incoming());
+            while let Some(Ok(stream)) = incoming.next().await {
+                let (frames, breaks) = (all.clone(), broken.clone());
+                spawner.spawn(async move { drop(feed(stream, &frames, &breaks).await) }).detach();
+            }
+        };
+        executor.spawn(serve).detach();
+        Coordinator { addr, frames, breaks }
+    }
+
+    /// A new event: what has changed, or the whole list.
+    pub fn tell(&self, whole: bool, engines: &[Listed]) {
+        let records: Vec<u8> = engines.iter().flat_map(record).collect();
+        let mut frames = self.frames.borrow_mut();
+        let number = frames.len() as u64 + 2;
+        frames.push(frame(number, if whole { 1 } else { 2 }, &records));
+    }
+
+    /// Breaks all connections.
+    pub fn cut(&self) {
+        *self.breaks.borrow_mut() += 1;
+    }
+}
+
+async fn feed(
+    mut stream: Async<TcpStream>,
+    frames: &RefCell<Vec<Vec<u8>>>,
+    breaks: &RefCell<u64>,
+) -> std::io::Result<()> {
+    let (mut last, from) = ([0; 8], *breaks.borrow());
+    stream.read_exact(&mut last).await?;
+    let mut next = u64::from_be_bytes(last).saturating_sub(1) as usize;
+    let mut quiet = 0;
+    while *breaks.borrow() == from {
+        let new: Vec<Vec<u8>> = frames.borrow().iter().skip(next).cloned().collect();
+        next += new.len();
+        for frame in new {
+            stream.write_all(&frame).await?;
+        }
+        if quiet % 100 == 0 {
+            stream.write_all(&frame(next as u64 + 1, 0, &[])).await?;
+        }
+        quiet += 1;
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
+
+/// The events of a start, as the configuration has them.
+pub fn known(engines: &[Listed], zones: &[&str], kinds: &[&str]) -> Value {
+    let server = |l: &Listed| {
+        json!({"id": format!("s-{:08x}", l.entry.id.0), "addr": l.addr.to_string(),
+            "zone": zones[usize::from(l.entry.zone.0)], "kind": kinds[usize::from(l.entry.kind.0)],
+            "cell": l.entry.cell.0, "state": "in_service", "weight": 1, "started_ms": 0})
+    };
+    let servers: Vec<Value> = engines.iter().map(server).collect();
+    json!({"index": 1, "updates": [{"index": 1, "endpoints": {"version": 1, "full": true, "servers": servers}}]})
+}
--- /dev/null
+++ b/src/kit/daemon.rs
@@ -0,0 +1,171 @@
+//! The real daemon as a child process, with a configuration written for it.
+use super::{clients, eventually};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Names that the configuration uses.
+pub const CLASSES: [&str; 3] = ["lookup", "report", "load"];
+/// The zones.
+pub const ZONES: [&str; 2] = ["ground", "first"];
+/// The kinds of machine.
+pub const KINDS: [&str; 1] = ["std-8core"];
+
+/// The settings that a rehearsal uses: one gateway, two tenants, the usual three classes.
+pub fn settings() -> Value {
+    let class = |name: &str, s: f64, semantics: &str| {
+        json!({"name": name, "promise_ns": 1_200_000_000u64, "aim_stretch": 1.5, "semantics": semantics,
+            "deadline_ns": (s * 1e9) as u64, "worth": 1.0, "late_worth": 0.1})
+    };
+    json!({
+        "me": 0, "peers_total": 1, "az": 0, "zones": ZONES, "quantum_ns": 5_000_000, "kinds": KINDS,
+        "classes": [class("lookup", 6.0, "pure"), class("report", 15.0, "pure"), class("load", 25.0, "side_effect")],
+        "orgs": [{"name": "billing-desk", "quota_rps": 63.0, "share": 0.62},
+            {"name": "channel-desk", "quota_rps": 39.0, "share": 0.38}],
+        "over_share_worth": 0.05, "discovery": "push", "load_info": {"fields": ["backlog", "utilization"], "how": "pull"},
+        "extra": {"class_threads": [1, 3, 2], "cores_by_kind": [8], "loads": [false, false, true],
+            "blocked_by_loads": [true, false, false], "takes_grants": true, "most_grant": 0.4,
+            "out_of_memory": "wait", "ram_of_kind_mb": [16384.0], "note_period_ns": 0},
+        "invariants": {"answer_slack_ns": 20_000_000, "drain_grace_ns": 250_000_000, "cold_from": 0.32,
+            "warm_within_ns": 15_000_000_000u64, "fall_multiple": 3.0, "fall_ns": 2_000_000_000},
+        "limits": {"send_cap": 3, "may_cancel": true, "probing": true, "peers": false, "retry_after": true,
+            "max_retry_after_ns": 2_000_000_000, "second_copies": false, "connect_timeout_ns": 250_000_000,
+            "keepalive_ns": 15_000_000_000u64, "max_streams": 32},
+        "prices": {"cross_zone": 0.01}
+    })
+}
+
+/// The whole configuration.
+pub fn config(listen: SocketAddr, coordinator: SocketAddr, known: &Value) -> Value {
+    json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "coordinator": coordinator.to_string(), "known": known, "settings": settings()})
+}
+
+/// A port that is free now.
+pub fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free loopback port");
+    listener.local_addr().expect("the port's address")
+}
+
+/// A folder of this run, gone with it.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// A new one.
+    pub fn new() -> std::io::Result<Folder> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("yokelift-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder(path))
+    }
+
+    /// Writes a file into it.
+    pub fn put(&self, name: &str, text: &str) -> std::io::Result<PathBuf> {
+        let path = self.0.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The daemon.
+pub struct Daemon {
+    child: Child,
+    /// Where clients of the platform's protocol connect.
+    pub listen: SocketAddr,
+    log: Rc<RefCell<String>>,
+    _folder: Folder,
+}
+
+impl Daemon {
+    /// Starts it and waits until it says that it is ready.
+    pub async fn start(
+        program: &Path,
+        coordinator: SocketAddr,
+        known: &Value,
+        deploy: Option<&str>,
+    ) -> Result<Daemon, String> {
+        let folder = Folder::new().map_err(|e| e.to_string())?;
+        let listen = free_addr();
+        let text = config(listen, coordinator, known).to_string();
+        let path = folder.put("config.json", &text).map_err(|e| e.to_string())?;
+        let mut command = Command::new(program);
+        command.env("PROXY_CONFIG", path).env("PROXY_NAME", "n0").env("PROXY_LISTEN", listen.to_string());
+        if let Some(deploy) = deploy {
+            command.arg(folder.put("clickhouse.toml", deploy).map_err(|e| e.to_string())?);
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+        let child = child.map_err(|e| format!("{}: {e}", program.display()))?;
+        let mut daemon = Daemon { child, listen, log: Rc::default(), _folder: folder };
+        for _ in 0..2_000 {
+            if clients::green(listen).await {
+                return Ok(daemon);
+            }
+            if daemon.child.try_wait().ok().flatten().is_some() {
+                break;
+            }
+            super::pause(5).await;
+        }
+        let _ = daemon.child.kill();
+        Err(format!("the daemon did not become ready: {}", daemon.log()))
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        if let Some(pid) = rustix::process::Pid::from_raw(self.child.id() as i32) {
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// Asks it to end.
+    pub fn term(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Waits for its end.
+    pub async fn ended(&mut self) -> Option<ExitStatus> {
+        let mut status = None;
+        eventually(|| {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        })
+        .await;
+        status
+    }
+
+    /// All that it logged; whole once it has ended.
+    pub fn log(&mut self) -> String {
+        if let Some(mut stderr) = self.child.stderr.take() {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+            let _ = stderr.read_to_string(&mut self.log.borrow_mut());
+        }
+        self.log.borrow().clone()
+    }
+
+    /// A figure of the counters that it printed last.
+    pub fn counter(&mut self, name: &str) -> Option<u64> {
+        let log = self.log();
+        let line = log.lines().rev().find(|l| l.contains(" taken "))?.to_owned();
+        let mut words = line.split(' ').skip_while(|w| *w != name);
+        words.nth(1)?.parse().ok()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/src/kit/script.rs
@@ -0,0 +1,278 @@
+//! Scripted scenarios: a few steps against the real daemon, one a line. `#` starts a comment.
+//!
+//! | step | what it does |
+//! | --- | --- |
+//! | `engine NAME platform\|clickhouse` | an engine; before `start` |
+//! | `user NAME KEY TENANT` | a user of the deploy file; before `start` |
+//! | `tenant NAME SHARE`, `person NAME KEY TENANT` | entries of a directory; a tenant of `-` is none |
+//! | `start` | starts the daemon and waits until it is ready |
+//! | `on ENGINE rows MS COUNT\|full\|break\|hang\|reset\|late\|garble` | what the engine does with its next query |
+//! | `ask NAME rpc CLASS TENANT WAIT-MS STATEMENT` | a query over JSON-RPC |
+//! | `ask NAME http USER KEY SECONDS STATEMENT` | a query over HTTP |
+//! | `seen NAME` | waits until an engine runs the query |
+//! | `over NAME` | waits until no engine runs it |
+//! | `expect NAME served\|refused\|failed\|deadline\|rejected CODE\|cut` | waits for its end and compares |
+//! | `runs NAME COUNT` | compares how often engines were sent it |
+//! | `drop NAME` | its client's connection ends |
+//! | `drain\|ready\|gone ENGINE` | news of the coordinator |
+//! | `down ENGINE` | its process ends |
+//! | `cut` | the coordinator's connections break |
+//! | `wait MS` | |
+//! | `term` | asks the daemon to end |
+//! | `ended` | waits for its end, which has to be clean |
+//! | `counter NAME VALUE` | compares a counter, after `ended` |
+use super::clients::{self, Got};
+use super::coordinator::{self, Coordinator};
+use super::daemon::{Daemon, KINDS, ZONES, free_addr};
+use super::directory::Directory;
+use super::engines::{Act, Engine, rows};
+use super::{Book, Executor, eventually, in_time, pause};
+use crate::interface::Readiness;
+use crate::net::list::{Listed, listed};
+use async_executor::{LocalExecutor, Task};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+
+struct Query {
+    task: Option<Task<()>>,
+    got: Rc<RefCell<Option<Got>>>,
+}
+
+struct Stage<'a> {
+    program: &'a Path,
+    executor: Executor,
+    book: Book,
+    coordinator: Coordinator,
+    directory: Option<Directory>,
+    engines: BTreeMap<String, (Engine, u32)>,
+    users: String,
+    daemon: Option<Daemon>,
+    http: SocketAddr,
+    queries: BTreeMap<String, Query>,
+    said: &'a mut dyn FnMut(&str),
+}
+
+/// Plays a script against the daemon; `said` hears of each end. Gives what went wrong: steps that did not go as
+/// expected, and broken rules.
+pub fn play(program: &Path, script: &str, said: &mut dyn FnMut(&str)) -> Result<(), Vec<String>> {
+    let executor: Executor = Rc::new(LocalExecutor::new());
+    let stage = Stage {
+        program,
+        book: Book::default(),
+        coordinator: Coordinator::start(&executor),
+        directory: None,
+        engines: BTreeMap::new(),
+        users: String::new(),
+        daemon: None,
+        http: free_addr(),
+        queries: BTreeMap::new(),
+        executor: executor.clone(),
+        said,
+    };
+    let wrong = async_io::block_on(executor.run(stage.play(script)));
+    if wrong.is_empty() { Ok(()) } else { Err(wrong) }
+}
+
+impl Stage<'_> {
+    async fn play(mut self, script: &str) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (at, line) in script.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            if line.is_empty() {
+                continue;
+            }
+            match in_time(self.step(line)).await {
+                Some(Ok(())) => {}
+                Some(Err(what)) => wrong.push(format!("line {}: {line}: {what}", at + 1)),
+                None => wrong.push(format!("line {}: {line}: it did not come to pass in time", at + 1)),
+            }
+            // What follows a wrong step rarely tells more.
+            if !wrong.is_empty() {
+                if let Some(daemon) = &mut self.daemon {
+                    wrong.push(format!("the daemon's log:\n{}", daemon.log()));
+                }
+                break;
+            }
+        }
+        wrong.extend(self.book.broken().into_iter().map(|rule| format!("broken rule: {rule}")));
+        wrong
+    }
+
+    fn listed(&self, name: &str, readiness: Readiness) -> Result<Listed, String> {
+        let (engine, number) = self.engines.get(name).ok_or("no such engine")?;
+        Ok(listed(*number, engine.addr, readiness, (0, 0, 0), 1.0, 0))
+    }
+
+    fn deploy(&self) -> String {
+        let mut text = format!("listen = \"{}\"\nusual_class = \"lookup\"\n", self.http);
+        let directory = self.directory.as_ref().map(|d| {
+            format!(
+                "[directory]\naddr = \"{}\"\nbind_dn = \"cn=reader\"\nbind_password = \"secret\"\n\
+                 users_base = \"ou=people\"\ntenants_base = \"ou=tenants\"\nkey_attribute = \"employeeNumber\"\n\
+                 page = 2\nrefresh_s = 1\n",
+                d.addr
+            )
+        });
+        for (engine, number) in self.engines.values().filter(|(e, _)| e.http) {
+            let _ = writeln!(text, "# {}\n[[engine]]\nid = \"s-{number:08x}\"", engine.addr);
+        }
+        text += "[[class]]\nname = \"load\"\nbegins = [\"insert\"]\n";
+        text += "[[class]]\nname = \"report\"\nholds = [\"group\", \"join\"]\n";
+        text + &self.users + directory.as_deref().unwrap_or_default()
+    }
+
+    async fn step(&mut self, line: &str) -> Result<(), String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{text:?} is no number"));
+        match words[..] {
+            ["engine", name, kind @ ("platform" | "clickhouse")] => {
+                let engine = Engine::start(&self.executor, name, kind == "clickhouse", self.book.clone());
+                let number = self.engines.len() as u32 + 1;
+                self.engines.insert(name.to_owned(), (engine, number));
+            }
+            ["user", name, key, tenant] => {
+                let _ = writeln!(self.users, "[[user]]\nname = \"{name}\"\nkey = \"{key}\"");
+                if tenant != "-" {
+                    let _ = writeln!(self.users, "tenant = \"{tenant}\"");
+                }
+            }
+            ["tenant", name, share] => self.directory().tenant(name, share),
+            ["person", name, key, tenant] => self.directory().user(name, key, tenant.trim_matches('-')),
+            ["start"] => {
+                let ready = |name: &String| self.listed(name, Readiness::Ready);
+                let all = self.engines.keys().map(ready).collect::<Result<Vec<_>, _>>()?;
+                let known = coordinator::known(&all, &ZONES, &KINDS);
+                let deploy = self.deploy();
+                let second = !self.users.is_empty() || self.directory.is_some();
+                let deploy = Some(deploy.as_str()).filter(|_| second);
+                let daemon = Daemon::start(self.program, self.coordinator.addr, &known, deploy).await?;
+                self.daemon = Some(daemon);
+            }
+            ["on", name, ref act @ ..] => {
+                let (engine, _) = self.engines.get(name).ok_or("no such engine")?;
+                engine.next(match act {
+                    ["rows", ms, count] => Act::Rows(number(ms)?, number(count)? as usize),
+                    ["full"] => Act::Full,
+                    ["break"] => Act::Break,
+                    ["hang"] => Act::Hang,
+                    ["reset"] => Act::Reset,
+                    ["late"] => Act::Late,
+                    ["garble"] => Act::Garble,
+                    _ => return Err("no such act".into()),
+                });
+            }
+            ["ask", name, ..] => self.ask(name, &words[2..])?,
+            ["seen", name] => {
+                let book = self.book.clone();
+                let seen = || book.of(name).iter().any(|r| r.end.is_none());
+                eventually(seen).await.then_some(()).ok_or("no engine runs it")?;
+            }
+            ["over", name] => {
+                let book = self.book.clone();
+                let over = || book.of(name).iter().all(|r| r.end.is_some());
+                eventually(over).await.then_some(()).ok_or("an engine still runs it")?;
+            }
+            ["expect", name, ref end @ ..] => self.expect(name, end).await?,
+            ["runs", name, count] => {
+                let runs = self.book.of(name).len();
+                if runs as u64 != number(count)? {
+                    return Err(format!("{runs} times"));
+                }
+            }
+            ["drop", name] => {
+                let query = self.queries.get_mut(name).ok_or("no such query")?;
+                query.task = None;
+            }
+            ["drain", name] => {
+                self.book.drained(name);
+                self.coordinator.tell(false, &[self.listed(name, Readiness::Draining)?]);
+            }
+            ["gone", name] => {
+                self.book.drained(name);
+                self.coordinator.tell(false, &[self.listed(name, Readiness::Gone)?]);
+            }
+            ["ready", name] => {
+                self.book.resumed(name);
+                self.coordinator.tell(false, &[self.listed(name, Readiness::Ready)?]);
+            }
+            ["down", name] => self.engines.get_mut(name).ok_or("no such engine")?.0.down(),
+            ["cut"] => self.coordinator.cut(),
+            ["wait", ms] => pause(number(ms)?).await,
+            ["term"] => self.daemon.as_ref().ok_or("not started")?.term(),
+            ["ended"] => {
+                let daemon = self.daemon.as_mut().ok_or("not started")?;
+                let status = daemon.ended().await.ok_or("it goes on")?;
+                status.success().then_some(()).ok_or(format!("{status}"))?;
+            }
+            ["counter", name, value] => {
+                let daemon = self.daemon.as_mut().ok_or("not started")?;
+                let found = daemon.counter(name);
+                if found != Some(number(value)?) {
+                    return Err(format!("{found:?}"));
+                }
+            }
+            _ => return Err("no such step".into()),
+        }
+        Ok(())
+    }
+
+    fn directory(&mut self) -> &Directory {
+        let executor = &self.executor;
+        self.directory.get_or_insert_with(|| {
+            let directory = Directory::start(executor);
+            *directory.content.password.borrow_mut() = "secret".into();
+            directory
+        })
+    }
+
+    fn ask(&mut self, name: &str, words: &[&str]) -> Result<(), String> {
+        let got: Rc<RefCell<Option<Got>>> = Rc::default();
+        let end = got.clone();
+        let named = |statement: &[&str]| format!("{} /* {name} */", statement.join(" "));
+        let listen = self.daemon.as_ref().ok_or("not started")?.listen;
+        let task = match words {
+            ["rpc", class, tenant, wait, statement @ ..] => {
+                let wait = wait.parse().map_err(|_| "the wait is no number")?;
+                let key = format!("{:016x}", self.queries.len() + 1);
+                let line = clients::rpc_line(1, class, &key, tenant, wait, &named(statement));
+                self.executor.spawn(async move {
+                    let ended = clients::rpc(listen, &line).await;
+                    *end.borrow_mut() = Some(ended);
+                })
+            }
+            ["http", user, key, seconds, statement @ ..] => {
+                let params = format!("query_id={name}&max_execution_time={seconds}");
+                let (addr, request) =
+                    (self.http, clients::http_request(user, key, &params, &named(statement)));
+                self.executor.spawn(async move {
+                    let ended = clients::http(addr, &request).await;
+                    *end.borrow_mut() = Some(ended);
+                })
+            }
+            _ => return Err("ask how?".into()),
+        };
+        self.queries.insert(name.to_owned(), Query { task: Some(task), got });
+        Ok(())
+    }
+
+    async fn expect(&mut self, name: &str, end: &[&str]) -> Result<(), String> {
+        let query = self.queries.get(name).ok_or("no such query")?;
+        eventually(|| query.got.borrow().is_some()).await;
+        let got = query.got.borrow().clone().ok_or("it has no end")?;
+        (self.said)(&format!("{name}: {got:?}"));
+        let fits = match (end, &got) {
+            // Whole, in order, and its own.
+            (["served"], Got::Served(text)) => *text == rows(name, text.lines().count()) && !text.is_empty(),
+            (["served", count], Got::Served(text)) => *text == rows(name, count.parse().unwrap_or(0)),
+            (["refused"], Got::Refused(after)) => after.is_some(),
+            (["failed"], Got::Failed(_)) | (["deadline"], Got::Deadline) | (["cut"], Got::Cut) => true,
+            (["rejected", code], Got::Rejected(found)) => *code == found.to_string(),
+            _ => false,
+        };
+        if fits { Ok(()) } else { Err(format!("{got:?}")) }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod front;
 pub mod http;
 pub mod interface;
+pub mod kit;
 pub mod log;
 pub mod manager;
 pub mod net;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -61,6 +61,7 @@
     orders: Sender<ToEngine>,
     free: Rc<Cell<usize>>,
     attempts: Rc<RefCell<BTreeSet<RequestId>>>,
+    stale: Rc<RefCell<BTreeSet<RequestId>>>,
 }
 
 /// Starts the actor of an engine. `wire` makes the protocol of each new connection.
@@ -94,7 +95,7 @@
             }
             ToEngine::Start(job) => {
                 // The fullest connection with room, so that spare ones fall idle and close.
-                let room = |c: &&Handle| c.free.get() > c.orders.len();
+                let room = |c: &&Handle| c.free.get() > c.orders.len() && !c.stale.borrow().contains(&job.id);
                 let fullest = conns.iter().filter(room).min_by_key(|c| c.free.get());
                 let (id, order) = (job.id, ToEngine::Start(job));
                 let lost = match fullest {
@@ -169,13 +170,14 @@
 
 fn connect<W: Wire + 'static>(shared: &Rc<Shared>, core: &Sender<Input>, peer: &Rc<Peer>, wire: W) -> Handle {
     let (orders, mailbox) = bounded(wire.streams() * 2 + SPARE);
-    let (free, attempts) = (Rc::new(Cell::new(wire.streams())), Rc::default());
-    let handle = Handle { orders, free: Rc::clone(&free), attempts: Rc::clone(&attempts) };
+    let (free, attempts, stale) = (Rc::new(Cell::new(wire.streams())), Rc::default(), Rc::default());
+    let handle =
+        Handle { orders, free: Rc::clone(&free), attempts: Rc::clone(&attempts), stale: Rc::clone(&stale) };
     let (shared, core, peer) = (shared.clone(), core.clone(), peer.clone());
     let executor = shared.executor.clone();
     let task = async move {
         let link = Link::new(clock::turn(), wire);
-        let conn = Connection { link, mailbox, core, peer, free, attempts, events: Vec::new() };
+        let conn = Connection { link, mailbox, core, peer, free, attempts, stale, events: Vec::new() };
         conn.run(&shared).await;
     };
     executor.spawn(task).detach();
@@ -189,6 +191,7 @@
     peer: Rc<Peer>,
     free: Rc<Cell<usize>>,
     attempts: Rc<RefCell<BTreeSet<RequestId>>>,
+    stale: Rc<RefCell<BTreeSet<RequestId>>>,
     events: Vec<Event>,
 }
 
@@ -313,6 +316,10 @@
 
     /// Passes on what happened. Waiting for room in the module's mailbox holds back this connection alone.
     async fn report(&mut self) {
+        if !self.events.is_empty() {
+            // Before the news: a further attempt may come at once.
+            *self.stale.borrow_mut() = self.link.stale().collect();
+        }
         for event in std::mem::take(&mut self.events) {
             let input = match event {
                 Event::Ended(ended) => {
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,139 @@
+//! The daemon as it is shipped, between stand-ins on loopback: one script a rule.
+use std::path::Path;
+use yokelift::kit::script;
+
+fn play(text: &str) {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_yokelift"));
+    if let Err(wrong) = script::play(daemon, text, &mut |_| {}) {
+        panic!("{}", wrong.join("\n"));
+    }
+}
+
+/// The same scenario on each kind of engine, asked by each front.
+fn on_both(text: &str) {
+    for engine in ["platform", "clickhouse"] {
+        for (lookup, load) in [
+            (
+                "rpc lookup billing-desk 9000 SELECT 1",
+                "rpc load billing-desk 9000 INSERT INTO a_1.b SELECT 1",
+            ),
+            ("http anna secret 9 SELECT 1", "http anna secret 9 INSERT INTO a_1.b SELECT 1"),
+        ] {
+            let text = text.replace("LOOKUP", lookup).replace("LOAD", load).replace("KIND", engine);
+            play(&format!("user anna secret billing-desk\n{text}"));
+        }
+    }
+}
+
+#[test]
+fn mixed_traffic_has_one_accounting() {
+    play(include_str!("../rehearsals/mixed.txt"));
+}
+
+/// Guards rule 2: an error, a reset or half an answer may come after the load began.
+#[test]
+fn a_load_that_may_have_run_fails_and_is_not_sent_again() {
+    for fault in ["break", "reset", "late", "garble"] {
+        let text = "engine one KIND\nengine two KIND\nstart\non one FAULT\non two FAULT\n\
+            ask a LOAD\nexpect a failed\nruns a 1\nterm\nended\ncounter taken 1\ncounter failed 1\ncounter open 0";
+        on_both(&text.replace("FAULT", fault));
+    }
+}
+
+/// The same ends do not keep what is safe from a further attempt.
+#[test]
+fn a_lookup_is_sent_again_after_a_fault() {
+    for fault in ["break", "reset", "late", "garble", "full"] {
+        let text = "engine one KIND\nstart\non one FAULT\nask a LOOKUP\nexpect a served\nruns a 2\n\
+            term\nended\ncounter taken 1\ncounter served 1\ncounter attempts 2\ncounter open 0";
+        on_both(&text.replace("FAULT", fault));
+    }
+}
+
+/// Turned away means that it never ran: a load goes out again, and in the end it may be refused.
+#[test]
+fn a_load_that_was_turned_away_may_go_out_again() {
+    on_both(
+        "engine one KIND\nstart\non one full\nask a LOAD\nexpect a served\nruns a 2\n\
+        on one full\non one full\non one full\nask b LOAD\nexpect b refused\nruns b 3\n\
+        term\nended\ncounter taken 2\ncounter served 1\ncounter refused 1\ncounter open 0",
+    );
+}
+
+/// A client that hangs up or runs out of time takes its attempt with it.
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    on_both(
+        "engine one KIND\nstart\non one hang\nask a LOOKUP\nseen a\ndrop a\nover a\nruns a 1\n\
+        ask b LOOKUP\nexpect b served\nterm\nended\ncounter taken 2\ncounter gone 1\ncounter served 1\ncounter open 0",
+    );
+}
+
+#[test]
+fn a_deadline_ends_a_query_and_its_attempt() {
+    for engine in ["platform", "clickhouse"] {
+        for ask in [
+            "rpc load billing-desk 1000 INSERT INTO a_1.b SELECT 1",
+            "http anna secret 1 INSERT INTO a_1.b SELECT 1",
+        ] {
+            play(&format!(
+                "user anna secret billing-desk\nengine one {engine}\nstart\non one hang\nask a {ask}\n\
+                expect a deadline\nover a\nruns a 1\nterm\nended\ncounter failed 1\ncounter open 0"
+            ));
+        }
+    }
+}
+
+/// Guards rule 3, also across a break of the coordinator's connection.
+#[test]
+fn nothing_new_goes_to_an_engine_that_drains() {
+    on_both(
+        "engine one KIND\nengine two KIND\nstart\nask a LOOKUP\nexpect a served\n\
+        cut\ndrain one\nwait 400\nask b LOOKUP\nexpect b served\nask c LOAD\nexpect c served\n\
+        ask d LOOKUP\nexpect d served\nready one\ndrain two\nwait 400\nask e LOOKUP\nexpect e served\n\
+        term\nended\ncounter served 5\ncounter open 0",
+    );
+}
+
+/// A refused connection proves that nothing ran, so even a load goes elsewhere.
+#[test]
+fn an_engine_that_is_down_costs_no_answer() {
+    on_both(
+        "engine one KIND\nengine two KIND\nstart\ndown one\nask a LOAD\nexpect a served\nask b LOAD\nexpect b served\n\
+        ask c LOOKUP\nexpect c served\nask d LOOKUP\nexpect d served\nterm\nended\ncounter served 4\ncounter open 0",
+    );
+}
+
+/// SIGTERM: what is open is answered, and what still comes as well.
+#[test]
+fn a_planned_end_answers_what_is_open() {
+    on_both(
+        "engine one KIND\nstart\non one rows 150 5\nask a LOOKUP\nseen a\nterm\nask b LOOKUP\nexpect b served\n\
+        expect a served 5\nended\ncounter taken 2\ncounter served 2\ncounter open 0",
+    );
+}
+
+/// Guards against strangers: 401 for one who is not known, 403 for one without a tenant.
+#[test]
+fn users_are_told_apart() {
+    play(
+        "engine one platform\nuser anna secret billing-desk\nuser carl secret -\nstart\n\
+        ask a http anna wrong 5 SELECT 1\nexpect a rejected 401\nask b http bert secret 5 SELECT 1\n\
+        expect b rejected 401\nask c http carl secret 5 SELECT 1\nexpect c rejected 403\n\
+        ask d http anna secret x SELECT 1\nexpect d rejected 400\nask e http anna secret 5 SELECT 1\n\
+        expect e served\nterm\nended\ncounter taken 1\ncounter served 1",
+    );
+}
+
+/// Users and shares come from the directory, page by page, and new ones with a refresh.
+#[test]
+fn the_directory_says_who_belongs_to_which_tenant() {
+    play(
+        "engine one clickhouse\ntenant billing-desk 3\ntenant channel-desk 1\ntenant night-desk 1\n\
+        person anna secret billing-desk\nperson bert secret channel-desk\nperson carl secret night-desk\n\
+        person dora secret -\nstart\nwait 500\nask a http anna secret 5 SELECT 1\nexpect a served\n\
+        ask b http carl secret 5 SELECT 1\nexpect b served\nask c http dora secret 5 SELECT 1\nexpect c rejected 403\n\
+        ask d http emil secret 5 SELECT 1\nexpect d rejected 401\nperson emil secret night-desk\nwait 2500\n\
+        ask e http emil secret 5 SELECT 1\nexpect e served\nterm\nended\ncounter directory-failures 0",
+    );
+}
