Check connections and the core by models under random steps; malformed input; documents

The two models walk 2,000 and 500 seeded sequences. A length over the limit is refused before its bytes are asked for; a JSON array no longer passes for a message with its fields in order.

--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -256,3 +256,10 @@
         self.outbox.clear();
     }
 }
+
+#[cfg(test)]
+use super::platform;
+
+#[cfg(test)]
+#[path = "../../tests/inside/link.rs"]
+mod model;
--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -183,6 +183,10 @@
                             return self.give_up(MALFORMED, replies);
                         }
                         match head.body(Body::Length(0)) {
+                            // Said before its bytes are read, and before they are asked for.
+                            Ok(Body::Length(n)) if n > MOST_STATEMENT as u64 => {
+                                return self.give_up(TOO_LONG, replies);
+                            }
                             Ok(body) => {
                                 let waits = head.has_word("expect", "100-continue");
                                 replies.extend_from_slice(match waits && body != Body::Length(0) {
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -73,10 +73,14 @@
         if line.iter().all(u8::is_ascii_whitespace) {
             return;
         }
+        // Batches are not spoken; nor may an array pass for a message with its fields in order.
+        if line.trim_ascii_start().starts_with(b"[") {
+            return error(replies, &Value::Null, INVALID_REQUEST, "no batches", None);
+        }
         let message: Message = match serde_json::from_slice(line) {
             Ok(message) => message,
             Err(e) => {
-                // Text that is JSON, but no message (a batch, say), is an invalid request.
+                // Text that is JSON, but no message, is an invalid request.
                 let code = if e.is_data() { INVALID_REQUEST } else { PARSE_ERROR };
                 return error(replies, &Value::Null, code, "not a message", None);
             }
--- a/src/kit/clients.rs
+++ b/src/kit/clients.rs
@@ -5,6 +5,8 @@
 use base64::prelude::{BASE64_STANDARD, Engine as _};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde_json::{Value, json};
+use std::cell::Cell;
+use std::fmt;
 use std::net::{SocketAddr, TcpStream};
 
 /// How a request ended, as its client saw it.
@@ -24,6 +26,20 @@
     Cut,
 }
 
+impl fmt::Display for Got {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Got::Served(rows) => write!(f, "served, {} rows", rows.lines().count()),
+            Got::Refused(Some(ms)) => write!(f, "refused, come back after {ms} ms"),
+            Got::Refused(None) => write!(f, "refused"),
+            Got::Deadline => write!(f, "failed: its time was up"),
+            Got::Failed(code) => write!(f, "failed: code {code}"),
+            Got::Rejected(code) => write!(f, "rejected: {code}"),
+            Got::Cut => write!(f, "cut off with no whole answer"),
+        }
+    }
+}
+
 /// Reads one line, or up to the end of the connection.
 pub async fn read_line(stream: &Async<TcpStream>, input: &mut Vec<u8>) -> Option<Vec<u8>> {
     let mut buffer = vec![0; 8192];
@@ -64,13 +80,29 @@
     }
 }
 
-/// Sends the lines on a new connection and reads the answer to the last one.
+/// Whether the client has had its byte and hangs up.
+async fn left(stream: &Async<TcpStream>, leaves: &Cell<bool>, input: &mut Vec<u8>) -> bool {
+    let mut byte = [0; 1];
+    let some = matches!((&*stream).read(&mut byte).await, Ok(1));
+    input.extend_from_slice(if some { &byte } else { b"" });
+    leaves.get()
+}
+
+/// Sends the lines on a new connection and reads the first answer.
 pub async fn rpc(addr: SocketAddr, lines: &[u8]) -> Got {
+    rpc_or_leave(addr, lines, &Cell::new(false)).await
+}
+
+/// The same, but the client may hang up within the answer.
+pub async fn rpc_or_leave(addr: SocketAddr, lines: &[u8], leaves: &Cell<bool>) -> Got {
     let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return Got::Cut };
     if stream.write_all(lines).await.is_err() {
         return Got::Cut;
     }
     let mut input = Vec::new();
+    if left(&stream, leaves, &mut input).await {
+        return Got::Cut;
+    }
     read_line(&stream, &mut input).await.map_or(Got::Cut, |line| rpc_got(&line))
 }
 
@@ -93,11 +125,20 @@
 
 /// Sends a request on a new connection and reads its answer.
 pub async fn http(addr: SocketAddr, request: &[u8]) -> Got {
+    http_or_leave(addr, request, &Cell::new(false)).await
+}
+
+/// The same, but the client may hang up within the answer.
+pub async fn http_or_leave(addr: SocketAddr, request: &[u8], leaves: &Cell<bool>) -> Got {
     let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return Got::Cut };
     if stream.write_all(request).await.is_err() {
         return Got::Cut;
     }
-    match read_http(&stream, &mut Vec::new(), Body::UntilClose).await {
+    let mut input = Vec::new();
+    if left(&stream, leaves, &mut input).await {
+        return Got::Cut;
+    }
+    match read_http(&stream, &mut input, Body::UntilClose).await {
         Some((head, body)) => http_got(&head, &body),
         None => Got::Cut,
     }
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -9,11 +9,13 @@
 //! | `on ENGINE rows MS COUNT\|full\|break\|hang\|reset\|late\|garble` | what the engine does with its next query |
 //! | `ask NAME rpc CLASS TENANT WAIT-MS STATEMENT` | a query over JSON-RPC |
 //! | `ask NAME http USER KEY SECONDS STATEMENT` | a query over HTTP |
+//! | `raw NAME rpc\|http TEXT` | bytes as they are, with `\r`, `\n` and `\0`; `ends` or a status is its end |
 //! | `seen NAME` | waits until an engine runs the query |
 //! | `over NAME` | waits until no engine runs it |
 //! | `expect NAME served\|refused\|failed\|deadline\|rejected CODE\|cut` | waits for its end and compares |
 //! | `runs NAME COUNT` | compares how often engines were sent it |
 //! | `drop NAME` | its client's connection ends |
+//! | `leave NAME` | its client hangs up once it has read a byte of the answer |
 //! | `drain\|ready\|gone ENGINE` | news of the coordinator |
 //! | `down ENGINE` | its process ends |
 //! | `cut` | the coordinator's connections break |
@@ -30,7 +32,7 @@
 use crate::interface::Readiness;
 use crate::net::list::{Listed, listed};
 use async_executor::{LocalExecutor, Task};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -40,6 +42,7 @@
 struct Query {
     task: Option<Task<()>>,
     got: Rc<RefCell<Option<Got>>>,
+    leaves: Rc<Cell<bool>>,
 }
 
 struct Stage<'a> {
@@ -183,6 +186,27 @@
                     return Err(format!("{runs} times"));
                 }
             }
+            ["leave", name] => {
+                let query = self.queries.get(name).ok_or("no such query")?;
+                query.leaves.set(true);
+            }
+            ["raw", name, front, ..] => {
+                let text = line.splitn(4, ' ').nth(3).unwrap_or_default();
+                let bytes = text.replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0").into_bytes();
+                let listen = self.daemon.as_ref().ok_or("not started")?.listen;
+                let addr = if front == "http" { self.http } else { listen };
+                let (got, http) = (Rc::<RefCell<Option<Got>>>::default(), front == "http");
+                let end = got.clone();
+                let task = self.executor.spawn(async move {
+                    let ended = if http {
+                        clients::http(addr, &bytes).await
+                    } else {
+                        clients::rpc(addr, &bytes).await
+                    };
+                    *end.borrow_mut() = Some(ended);
+                });
+                self.queries.insert(name.to_owned(), Query { task: Some(task), got, leaves: Rc::default() });
+            }
             ["drop", name] => {
                 let query = self.queries.get_mut(name).ok_or("no such query")?;
                 query.task = None;
@@ -230,8 +254,8 @@
     }
 
     fn ask(&mut self, name: &str, words: &[&str]) -> Result<(), String> {
-        let got: Rc<RefCell<Option<Got>>> = Rc::default();
-        let end = got.clone();
+        let (got, leaves) = (Rc::<RefCell<Option<Got>>>::default(), Rc::<Cell<bool>>::default());
+        let (end, leave) = (got.clone(), leaves.clone());
         let named = |statement: &[&str]| format!("{} /* {name} */", statement.join(" "));
         let listen = self.daemon.as_ref().ok_or("not started")?.listen;
         let task = match words {
@@ -240,7 +264,7 @@
                 let key = format!("{:016x}", self.queries.len() + 1);
                 let line = clients::rpc_line(1, class, &key, tenant, wait, &named(statement));
                 self.executor.spawn(async move {
-                    let ended = clients::rpc(listen, &line).await;
+                    let ended = clients::rpc_or_leave(listen, &line, &leave).await;
                     *end.borrow_mut() = Some(ended);
                 })
             }
@@ -249,13 +273,13 @@
                 let (addr, request) =
                     (self.http, clients::http_request(user, key, &params, &named(statement)));
                 self.executor.spawn(async move {
-                    let ended = clients::http(addr, &request).await;
+                    let ended = clients::http_or_leave(addr, &request, &leave).await;
                     *end.borrow_mut() = Some(ended);
                 })
             }
             _ => return Err("ask how?".into()),
         };
-        self.queries.insert(name.to_owned(), Query { task: Some(task), got });
+        self.queries.insert(name.to_owned(), Query { task: Some(task), got, leaves });
         Ok(())
     }
 
@@ -263,7 +287,7 @@
         let query = self.queries.get(name).ok_or("no such query")?;
         eventually(|| query.got.borrow().is_some()).await;
         let got = query.got.borrow().clone().ok_or("it has no end")?;
-        (self.said)(&format!("{name}: {got:?}"));
+        (self.said)(&format!("{name}: {got}"));
         let fits = match (end, &got) {
             // Whole, in order, and its own.
             (["served"], Got::Served(text)) => *text == rows(name, text.lines().count()) && !text.is_empty(),
--- a/src/manager/ends.rs
+++ b/src/manager/ends.rs
@@ -76,3 +76,38 @@
 pub fn never_ran(kind: OutcomeKind) -> bool {
     matches!(kind, OutcomeKind::Full | OutcomeKind::ConnectFailed | OutcomeKind::Moot)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ALL: [End; 17] = [
+        End::Done,
+        End::Full,
+        End::Past,
+        End::Broke,
+        End::Refused,
+        End::ConnectTimeout,
+        End::Unreachable,
+        End::Overflow,
+        End::Closed,
+        End::Reset,
+        End::Garbled,
+        End::Silent,
+        End::Idle,
+        End::Drained,
+        End::Withdrawn,
+        End::Deadline,
+        End::Dropped,
+    ];
+
+    /// Guards rule 2: after a byte went out only the engine's word, or a connection that never was, clears it.
+    #[test]
+    fn only_the_engine_says_that_what_went_out_never_ran() {
+        let clears = |end: &End| never_ran(outcome(*end, Reach::Sent));
+        let cleared: Vec<End> = ALL.into_iter().filter(clears).collect();
+        assert_eq!(cleared, [End::Full, End::Past, End::Refused, End::ConnectTimeout, End::Unreachable]);
+        let stuck: Vec<End> = ALL.into_iter().filter(|e| !never_ran(outcome(*e, Reach::Unsent))).collect();
+        assert_eq!(stuck, [End::Done, End::Broke]);
+    }
+}
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -490,3 +490,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/manager.rs"]
+mod model;
--- /dev/null
+++ b/tests/inside/link.rs
@@ -0,0 +1,167 @@
+//! A model of a connection's states, against which random steps are checked: every attempt ends once, and what
+//! its end says of the bytes that went out is what the socket saw.
+use super::platform::Platform;
+use super::{End, Event, Link, Reach};
+use crate::clock::{MS, Micros};
+use crate::config::Names;
+use crate::interface::{AttemptNo, ClassId, RequestId};
+use crate::manager::Job;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start,
+    Stop(u8),
+    Write(u8),
+    Answer(u8, &'static str),
+    Drain,
+    Wait(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let (n, words) = (u8::arbitrary(g), ["DONE sheets=1 2", "WAIT - 2", "BROKE - 2", "PAST - 2"]);
+        match u8::arbitrary(g) % 10 {
+            0..=2 => Step::Start,
+            3 => Step::Stop(n),
+            4..=6 => Step::Write(n),
+            7 => Step::Answer(n, g.choose(&words).expect("words")),
+            8 => Step::Wait(n),
+            _ => Step::Drain,
+        }
+    }
+}
+
+/// What the model holds of an attempt that is on the connection.
+#[derive(Clone, Debug, Default)]
+struct Attempt {
+    first_byte: bool,
+    stopped_at: Option<Micros>,
+    drained: bool,
+}
+
+struct Model {
+    link: Link<Platform>,
+    now: Micros,
+    on_it: BTreeMap<u32, Attempt>,
+    started: u32,
+    written: Vec<u8>,
+    /// Commands that start an attempt and have begun to go out.
+    begun: usize,
+}
+
+impl Model {
+    /// Checks what the connection says has ended against what the model knows.
+    fn check(
+        &mut self,
+        events: Vec<Event>,
+        answered: Option<(u32, &str)>,
+        closing: bool,
+    ) -> Result<(), String> {
+        for event in events {
+            let Event::Ended(ended) = event else { continue };
+            let id = ended.id.0;
+            let known = self.on_it.remove(&id).ok_or(format!("{id} ended twice"))?;
+            let reach = if known.first_byte { Reach::Sent } else { Reach::Unsent };
+            let word = answered.filter(|(answered, _)| *answered == id).map(|(_, word)| &word[..4]);
+            let right = match (ended.end, word) {
+                (End::Done, Some("DONE")) | (End::Full, Some("WAIT")) => true,
+                (End::Broke, Some("BROK")) | (End::Past, Some("PAST")) => true,
+                (End::Drained, None) => known.drained && !known.first_byte,
+                (End::Withdrawn, None) => known.stopped_at.is_some(),
+                (End::Reset, None) => closing && known.stopped_at.is_none(),
+                _ => false,
+            };
+            if !right || ended.reach != reach {
+                return Err(format!("{ended:?} of {known:?}"));
+            }
+        }
+        // Given up for longer than it takes to settle, and not over.
+        let late = |a: &&Attempt| a.stopped_at.is_some_and(|at| at + super::SETTLE <= self.now);
+        let settled = self.on_it.values().find(late).filter(|a| a.first_byte);
+        settled.map_or(Ok(()), |a| Err(format!("{a:?} did not settle")))
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), String> {
+        let (mut events, mut answered) = (Vec::new(), None);
+        let pick = |n: u8| self.on_it.keys().nth(usize::from(n) % self.on_it.len().max(1)).copied();
+        match step {
+            Step::Start if self.link.free() > 0 => {
+                self.started += 1;
+                let (id, key) = (RequestId(self.started), format!("{:016x}", self.started).into());
+                let (class, statement, until) = (ClassId(0), Rc::from(&b"select"[..]), self.now + 1_000 * MS);
+                let (attempt, memory_mb, session) = (AttemptNo(0), 0.0, None);
+                let job = Job { id, attempt, key, class, statement, session, until, memory_mb };
+                self.link.start(self.now, &job);
+                self.on_it.insert(self.started, Attempt::default());
+            }
+            Step::Start => {}
+            Step::Stop(n) => {
+                let Some(id) = pick(*n) else { return Ok(()) };
+                let known = self.on_it.get_mut(&id).expect("picked");
+                known.stopped_at = known.stopped_at.or(Some(self.now));
+                self.link.stop(self.now, RequestId(id), AttemptNo(0), &mut events);
+            }
+            Step::Write(n) => {
+                let Some(bytes) = self.link.to_write() else { return Ok(()) };
+                let n = (usize::from(*n) % 90 + 1).min(bytes.len());
+                self.written.extend_from_slice(&bytes[..n]);
+                self.link.wrote(self.now, n);
+                // A command's first byte tells that it is out, however little of its line is.
+                let text = String::from_utf8_lossy(&self.written);
+                let starts = |l: &&str| !l.is_empty() && ("do ".starts_with(*l) || l.starts_with("do "));
+                let begun = text.split("\r\n").filter(starts).count();
+                if begun > self.begun {
+                    let next = self.on_it.values_mut().find(|a| !a.first_byte);
+                    next.ok_or("a command for nobody")?.first_byte = true;
+                }
+                self.begun = begun;
+            }
+            Step::Answer(n, word) => {
+                let Some(id) = pick(*n).filter(|id| self.on_it[id].first_byte) else { return Ok(()) };
+                // What was given up is not known to the wire any more.
+                answered = Some((id, *word)).filter(|_| self.on_it[&id].stopped_at.is_none());
+                let text = format!("{id:016x} {word}\r\na\n\r\n");
+                let (one, other) = text.as_bytes().split_at(usize::from(*n) % text.len());
+                [one, other]
+                    .iter()
+                    .filter(|p| !p.is_empty())
+                    .for_each(|p| self.link.read(self.now, p, &mut events));
+            }
+            Step::Drain => {
+                self.on_it.values_mut().for_each(|a| a.drained = true);
+                self.link.drain(self.now, &mut events);
+            }
+            Step::Wait(n) => {
+                self.now += u64::from(*n) * MS / 8;
+                self.link.due(self.now, &mut events);
+            }
+        }
+        let over = self.link.over();
+        self.check(events, answered, false)?;
+        if matches!(step, Step::Drain) && self.on_it.values().any(|a| !a.first_byte) {
+            return Err("a drain left something that waits to go out".into());
+        }
+        if over.is_some_and(|end| end != End::Dropped) { Err(format!("over: {over:?}")) } else { Ok(()) }
+    }
+}
+
+#[test]
+fn every_attempt_ends_once_and_says_what_went_out() {
+    fn walk(steps: Vec<Step>) -> Result<bool, String> {
+        let names = Names { classes: vec!["lookup".into()], streams: 4, ..Names::default() };
+        let now = 1_000 * MS;
+        let link = Link::new(now, Platform::new(Rc::new(names)));
+        let (on_it, written) = (BTreeMap::new(), Vec::new());
+        let mut model = Model { link, now, on_it, started: 0, written, begun: 0 };
+        steps.iter().try_for_each(|step| model.step(step))?;
+        let mut events = Vec::new();
+        model.link.close(model.now, End::Reset, &mut events);
+        model.check(events, None, true)?;
+        if model.on_it.is_empty() { Ok(true) } else { Err("something did not end".into()) }
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(60, 11)).tests(2_000);
+    check.quickcheck(walk as fn(Vec<Step>) -> Result<bool, String>);
+}
--- /dev/null
+++ b/tests/inside/manager.rs
@@ -0,0 +1,206 @@
+//! The core under random steps: one answer for each request, never two attempts out, loads that may have run not
+//! sent again, and books that balance.
+use super::*;
+use crate::clock::{MS, SEC};
+use crate::settings;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8),
+    End(u8, End, bool),
+    Leave(u8),
+    List(u8),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let ends = [End::Done, End::Full, End::Broke, End::Refused, End::Reset, End::Closed, End::Drained];
+        let n = u8::arbitrary(g);
+        match u8::arbitrary(g) % 10 {
+            0..=3 => Step::Ask(n),
+            4..=6 => Step::End(n, *g.choose(&ends).expect("ends"), bool::arbitrary(g)),
+            7 => Step::Leave(n),
+            8 => Step::List(n),
+            _ => Step::Wait(u16::arbitrary(g) % 4_000),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    load: bool,
+    out: Option<(AttemptNo, bool)>,
+    may_have_run: bool,
+    sends: u32,
+    answers: u32,
+    left: bool,
+}
+
+struct Model {
+    manager: Manager,
+    now: Micros,
+    seen: BTreeMap<u64, Seen>,
+    ready: BTreeSet<EngineId>,
+    ids: BTreeMap<RequestId, u64>,
+}
+
+fn entry(id: u64, readiness: Readiness) -> EngineEntry {
+    EngineEntry { id: EngineId(id), readiness, weight: 1.0, ..EngineEntry::default() }
+}
+
+impl Model {
+    fn new() -> Model {
+        let text = crate::kit::daemon::settings().to_string();
+        let settings = settings::parse(text.as_bytes()).expect("the kit's settings");
+        let manager = Manager::new(SEC, settings, 7);
+        let (seen, ids) = (BTreeMap::new(), BTreeMap::new());
+        let mut model = Model { manager, now: SEC, seen, ready: BTreeSet::new(), ids };
+        model.ready = (1..=3).map(EngineId).collect();
+        let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
+        let mut orders = Vec::new();
+        model.manager.list(SEC, ListKind::Cached, all, &mut orders);
+        model
+    }
+
+    fn obey(&mut self, orders: Vec<Order>) -> Result<(), String> {
+        let mut more = Vec::new();
+        for order in orders {
+            match order {
+                Order::Start(engine, job) => {
+                    let tag = u64::from_str_radix(&job.key, 16).map_err(|e| e.to_string())?;
+                    let seen = self.seen.get_mut(&tag).ok_or("a send for nobody")?;
+                    let again = !(seen.load && seen.may_have_run);
+                    if seen.out.is_some() || !again || seen.answers > 0 || seen.left || seen.sends >= 3 {
+                        return Err(format!("{tag} must not be sent"));
+                    }
+                    if !self.ready.contains(&engine) {
+                        return Err("sent to an engine that takes no work".into());
+                    }
+                    (seen.out, seen.sends) = (Some((job.attempt, true)), seen.sends + 1);
+                    self.ids.insert(job.id, tag);
+                }
+                Order::Stop(_, id, attempt) => {
+                    let load = LoadReport::default();
+                    let (end, reach, rows) = (End::Withdrawn, Reach::Sent, Vec::new());
+                    more.push(Ended { id, attempt, end, reach, rows, load });
+                }
+                Order::Answer(origin, answer) => {
+                    let seen = self.seen.get_mut(&origin.tag).ok_or("an answer for nobody")?;
+                    seen.answers += 1;
+                    if seen.answers > 1 || seen.left {
+                        return Err(format!("{origin:?} got an answer too many"));
+                    }
+                    if seen.load && seen.may_have_run && matches!(answer, Answer::Refused(_)) {
+                        return Err("a load that may have run was refused".into());
+                    }
+                }
+                Order::Probe(_) | Order::CloseIdle(_) | Order::Log(_) => {}
+            }
+        }
+        more.into_iter().try_for_each(|ended| self.end(ended))
+    }
+
+    fn end(&mut self, ended: Ended) -> Result<(), String> {
+        let Some(seen) = self.ids.get(&ended.id).and_then(|tag| self.seen.get_mut(tag)) else {
+            return Ok(());
+        };
+        if seen.out.is_some_and(|(attempt, _)| attempt == ended.attempt) {
+            seen.out = None;
+            seen.may_have_run |= !never_ran(outcome(ended.end, ended.reach));
+        }
+        let mut orders = Vec::new();
+        self.manager.ended(self.now, ended, &mut orders);
+        self.obey(orders)
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), String> {
+        let mut orders = Vec::new();
+        match step {
+            Step::Ask(n) => {
+                let tag = self.seen.len() as u64 + 1;
+                let class = u16::from(n % 3);
+                self.seen.insert(tag, Seen { load: class == 2, ..Seen::default() });
+                let ask = Ask {
+                    origin: Origin { conn: u64::from(n % 4), tag },
+                    key: format!("{tag:016x}").into(),
+                    class: ClassId(class),
+                    tenant: TenantId(u16::from(n % 2)),
+                    give_up_at: self.now + u64::from(*n) * 20 * MS,
+                    cost: Some(50 * MS),
+                    memory_mb: None,
+                    repeated: false,
+                    statement: Rc::from(&b"select 1"[..]),
+                    session: None,
+                };
+                self.manager.take(self.now, ask, &mut orders);
+            }
+            Step::End(n, end, sent) => {
+                let out: Vec<(RequestId, AttemptNo)> =
+                    self.ids.iter().filter_map(|(id, tag)| Some((*id, self.seen[tag].out?.0))).collect();
+                let Some(&(id, attempt)) = out.get(usize::from(*n) % out.len().max(1)) else { return Ok(()) };
+                let unsent = matches!(end, End::Refused | End::Drained) || !(*sent || *end == End::Done);
+                let reach = if unsent { Reach::Unsent } else { Reach::Sent };
+                let ended = Ended {
+                    id,
+                    attempt,
+                    end: *end,
+                    reach,
+                    rows: b"a\n".to_vec(),
+                    load: LoadReport::default(),
+                };
+                // The same end twice: the second one counts for nothing.
+                self.end(ended.clone())?;
+                self.end(ended)?;
+            }
+            Step::Leave(n) => {
+                for (tag, seen) in self.seen.iter_mut().filter(|(_, s)| s.answers == 0) {
+                    let _ = tag;
+                    seen.left |=
+                        self.manager.origins.contains_key(&Origin { conn: u64::from(n % 4), tag: *tag });
+                }
+                self.manager.hung_up(self.now, u64::from(n % 4), &mut orders);
+            }
+            Step::List(n) => {
+                let (id, up) = (u64::from(n % 3) + 1, n % 2 == 0);
+                let readiness = if up { Readiness::Ready } else { Readiness::Draining };
+                if up {
+                    self.ready.insert(EngineId(id))
+                } else {
+                    self.ready.remove(&EngineId(id))
+                };
+                self.manager.list(self.now, ListKind::Changes, vec![entry(id, readiness)], &mut orders);
+            }
+            Step::Wait(ms) => {
+                let until = self.now + u64::from(*ms) * MS;
+                while let Some(at) = self.manager.next_due().filter(|at| *at <= until) {
+                    self.now = self.now.max(at);
+                    let mut orders = Vec::new();
+                    self.manager.due(self.now, &mut orders);
+                    self.obey(orders)?;
+                }
+                self.now = until;
+            }
+        }
+        self.obey(orders)
+    }
+}
+
+#[test]
+fn the_ledger_keeps_the_rules() {
+    fn walk(steps: Vec<Step>) -> Result<bool, String> {
+        let mut model = Model::new();
+        steps.iter().try_for_each(|step| model.step(step))?;
+        // Past the last deadline all is answered, and the books balance.
+        model.step(&Step::Wait(10_000))?;
+        let open = model.seen.values().filter(|s| s.answers == 0 && !s.left).count();
+        let counters = &model.manager.counters;
+        if open > 0 || counters.open() > 0 || !model.manager.open.is_empty() {
+            return Err(format!("{open} without an answer; {counters}"));
+        }
+        Ok(counters.taken == model.seen.len() as u64)
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(80, 13)).tests(500);
+    check.quickcheck(walk as fn(Vec<Step>) -> Result<bool, String>);
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -137,3 +137,91 @@
         ask e http emil secret 5 SELECT 1\nexpect e served\nterm\nended\ncounter directory-failures 0",
     );
 }
+
+/// A client that hangs up within its answer ends nothing but its connection.
+#[test]
+fn a_client_may_hang_up_within_its_answer() {
+    on_both(
+        "engine one KIND\nstart\non one rows 100 200\nask a LOOKUP\nleave a\nexpect a cut\nruns a 1\n\
+        ask b LOOKUP\nexpect b served\nterm\nended\ncounter taken 2\ncounter served 2\ncounter open 0",
+    );
+}
+
+/// Malformed input ends that request or connection, never the program.
+#[test]
+fn malformed_input_ends_no_more_than_itself() {
+    let lines = [
+        ("{]", "-32700"),
+        ("[]", "-32600"),
+        (r#"{"jsonrpc":"2.0","id":1,"method":"lookup","params":[1]}"#, "-32602"),
+        (r#"{"jsonrpc":"2.0","id":1,"method":"nothing","params":{}}"#, "-32601"),
+        (r#"{"jsonrpc":"1.0","id":1,"method":"status"}"#, "-32600"),
+        (r#"{"jsonrpc":"2.0","id":-1,"method":"lookup","params":{}}"#, "-32600"),
+        (
+            r#"{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"id":"xyz","wait":5,"tenant":"billing-desk","arg":""}}"#,
+            "-32602",
+        ),
+    ];
+    let requests = [
+        ("BREW / HTTP/1.1\\r\\n\\r\\n", "405"),
+        ("GET /none HTTP/1.1\\r\\n\\r\\n", "404"),
+        ("hello\\r\\n\\r\\n", "400"),
+        ("GET /?query=%zz HTTP/1.1\\r\\n\\r\\n", "400"),
+        ("POST / HTTP/1.1\\r\\nContent-Length: 1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n", "400"),
+        ("POST / HTTP/1.1\\r\\nContent-Length: 999999999\\r\\n\\r\\nabc", "413"),
+        ("POST / HTTP/1.1\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n", "400"),
+        ("POST / HTTP/1.1\\r\\nAuthorization: Basic !!\\r\\nContent-Length: 1\\r\\n\\r\\nx", "401"),
+        ("GET /?user=anna&password=secret&query=INSERT+INTO+x HTTP/1.1\\r\\n\\r\\n", "405"),
+        ("GET /?user=anna&password=secret&query=SELECT&default_format=Parquet HTTP/1.1\\r\\n\\r\\n", "400"),
+        ("GET /?user=anna&password=secret&query=SELECT&database=other HTTP/1.1\\r\\n\\r\\n", "400"),
+    ];
+    let mut text = "engine one platform\nuser anna secret billing-desk\nstart\n".to_owned();
+    for (at, (line, code)) in lines.iter().enumerate() {
+        text += &format!("raw l{at} rpc {line}\\n\nexpect l{at} rejected {code}\n");
+    }
+    for (at, (request, code)) in requests.iter().enumerate() {
+        text += &format!("raw h{at} http {request}\nexpect h{at} rejected {code}\n");
+    }
+    text += &format!("raw long rpc {}\nexpect long cut\n", "x".repeat(300_000));
+    text +=
+        "ask a rpc lookup billing-desk 5000 SELECT 1\nexpect a served\nask b http anna secret 5 SELECT 1\n";
+    play(&(text + "expect b served\nterm\nended\ncounter taken 2\ncounter served 2\ncounter open 0"));
+}
+
+/// A configuration that can't be used ends the program with one clear line.
+#[test]
+fn a_bad_configuration_is_one_line_and_a_failure() {
+    use std::process::Command;
+    use yokelift::kit::daemon::{Folder, config, free_addr};
+    let folder = Folder::new().expect("a folder");
+    let known = serde_json::json!({"index": 1, "updates": []});
+    let good = config(free_addr(), free_addr(), &known);
+    let without = |key: &str| {
+        let mut text = good.clone();
+        text.as_object_mut().expect("an object").remove(key);
+        text.to_string()
+    };
+    let files = ["{".to_owned(), without("listen"), without("settings"), without("known")];
+    for (at, text) in files.iter().enumerate() {
+        let path = folder.put(&format!("{at}.json"), text).expect("a file");
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_yokelift")).env("PROXY_CONFIG", path).output().expect("runs");
+        let line = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && line.lines().count() == 1 && line.contains(".json"), "{line}");
+    }
+    let toml = "listen = \"127.0.0.1:0\"\nusual_class = \"lookup\"\n";
+    for (at, (text, hint)) in [
+        (format!("{toml}surprise = 1\n"), "surprise"),
+        (toml.to_owned(), "nobody could connect"),
+        (format!("{toml}[[user]]\nname = \"a\"\n[[engine]]\nid = \"x\"\n"), "8 hex digits"),
+    ]
+    .iter()
+    .enumerate()
+    {
+        let path = folder.put(&format!("{at}.toml"), text).expect("a file");
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_yokelift-kit")).arg("check").arg(path).output().expect("runs");
+        let line = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && line.lines().count() == 1 && line.contains(hint), "{line}");
+    }
+}
