Do not end with the last answer unwritten; bound unwritten bytes; steadier scenarios

Seen: a load answered after SIGTERM was lost (scenario 'a planned end', four of four). The counters said served 2, open 0: net/core.rs ended in the turn that handed the answer to its client's mailbox, before anything was written. Ruled out: the engine (its run was answered) and the client's actor (it never woke). The end now waits until mailboxes are empty and what came out of them is written.

--- a/src/engine/clickhouse.rs
+++ b/src/engine/clickhouse.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// An answer longer than this is not gathered.
-const MOST_ROWS: usize = 1024 * 1024;
+const MOST_ROWS: usize = 256 * 1024;
 /// The code of an engine that has too many queries: it has not looked at this one.
 const TOO_MANY_QUERIES: u32 = 202;
 /// An exception's text in a body begins so.
--- a/src/kit/clients.rs
+++ b/src/kit/clients.rs
@@ -57,7 +57,7 @@
 /// A request of the platform's protocol, as a line.
 pub fn rpc_line(id: u64, class: &str, key: &str, tenant: &str, wait_ms: u64, statement: &str) -> Vec<u8> {
     let arg = BASE64_STANDARD.encode(statement);
-    let params = json!({"id": key, "wait": wait_ms, "tenant": tenant, "cost": 50.0, "kb": 8, "arg": arg});
+    let params = json!({"id": key, "wait": wait_ms, "tenant": tenant, "cost": 500.0, "kb": 8, "arg": arg});
     let mut line =
         json!({"jsonrpc": "2.0", "id": id, "method": class, "params": params}).to_string().into_bytes();
     line.push(b'\n');
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -1,12 +1,9 @@
 //! The real daemon as a child process, with a configuration written for it.
 use super::{clients, eventually};
 use serde_json::{Value, json};
-use std::cell::RefCell;
-use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Names that the configuration uses.
@@ -85,8 +82,7 @@
     child: Child,
     /// Where clients of the platform's protocol connect.
     pub listen: SocketAddr,
-    log: Rc<RefCell<String>>,
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Daemon {
@@ -106,9 +102,10 @@
         if let Some(deploy) = deploy {
             command.arg(folder.put("clickhouse.toml", deploy).map_err(|e| e.to_string())?);
         }
-        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+        let log = std::fs::File::create(folder.0.join("log")).map_err(|e| e.to_string())?;
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         let child = child.map_err(|e| format!("{}: {e}", program.display()))?;
-        let mut daemon = Daemon { child, listen, log: Rc::default(), _folder: folder };
+        let mut daemon = Daemon { child, listen, folder };
         for _ in 0..2_000 {
             if clients::green(listen).await {
                 return Ok(daemon);
@@ -144,22 +141,26 @@
         status
     }
 
-    /// All that it logged; whole once it has ended.
-    pub fn log(&mut self) -> String {
-        if let Some(mut stderr) = self.child.stderr.take() {
-            let _ = self.child.kill();
-            let _ = self.child.wait();
-            let _ = stderr.read_to_string(&mut self.log.borrow_mut());
-        }
-        self.log.borrow().clone()
+    /// All that it logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.0.join("log")).unwrap_or_default()
+    }
+
+    /// Asks it to print its counters.
+    pub fn report(&self) {
+        self.signal(rustix::process::Signal::USR1);
+    }
+
+    /// How often it has printed its counters.
+    pub fn reports(&self) -> usize {
+        self.log().lines().filter(|l| l.contains(" taken ")).count()
     }
 
     /// A figure of the counters that it printed last.
-    pub fn counter(&mut self, name: &str) -> Option<u64> {
+    pub fn counter(&self, name: &str) -> Option<u64> {
         let log = self.log();
-        let line = log.lines().rev().find(|l| l.contains(" taken "))?.to_owned();
-        let mut words = line.split(' ').skip_while(|w| *w != name);
-        words.nth(1)?.parse().ok()
+        let line = log.lines().rev().find(|l| l.contains(" taken "))?;
+        line.split(' ').skip_while(|w| *w != name).nth(1)?.parse().ok()
     }
 }
 
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -19,6 +19,8 @@
 //! | `drain\|ready\|gone ENGINE` | news of the coordinator |
 //! | `down ENGINE` | its process ends |
 //! | `cut` | the coordinator's connections break |
+//! | `until COUNTER VALUE` | waits until a counter of the daemon has come so far; `+N` is N more than now |
+//! | `busy`, `idle` | the directory answers searches with an error; answers again |
 //! | `wait MS` | |
 //! | `term` | asks the daemon to end |
 //! | `ended` | waits for its end, which has to be clean |
@@ -95,7 +97,7 @@
             }
             // What follows a wrong step rarely tells more.
             if !wrong.is_empty() {
-                if let Some(daemon) = &mut self.daemon {
+                if let Some(daemon) = &self.daemon {
                     wrong.push(format!("the daemon's log:\n{}", daemon.log()));
                 }
                 break;
@@ -225,6 +227,24 @@
             }
             ["down", name] => self.engines.get_mut(name).ok_or("no such engine")?.0.down(),
             ["cut"] => self.coordinator.cut(),
+            ["until", name, value] => {
+                let daemon = self.daemon.as_ref().ok_or("not started")?;
+                // With a plus: so many more than now, as the daemon says when asked anew.
+                let more = value.strip_prefix('+');
+                let printed = daemon.reports();
+                while more.is_some() && daemon.reports() == printed {
+                    daemon.report();
+                    pause(20).await;
+                }
+                let base = more.and_then(|_| daemon.counter(name)).unwrap_or(0);
+                let value = base + number(more.unwrap_or(value))?;
+                while daemon.counter(name).is_none_or(|n| n < value) {
+                    daemon.report();
+                    pause(20).await;
+                }
+            }
+            ["busy"] => self.directory().content.busy.set(true),
+            ["idle"] => self.directory().content.busy.set(false),
             ["wait", ms] => pause(number(ms)?).await,
             ["term"] => self.daemon.as_ref().ok_or("not started")?.term(),
             ["ended"] => {
@@ -233,7 +253,7 @@
                 status.success().then_some(()).ok_or(format!("{status}"))?;
             }
             ["counter", name, value] => {
-                let daemon = self.daemon.as_mut().ok_or("not started")?;
+                let daemon = self.daemon.as_ref().ok_or("not started")?;
                 let found = daemon.counter(name);
                 if found != Some(number(value)?) {
                     return Err(format!("{found:?}"));
--- a/src/log.rs
+++ b/src/log.rs
@@ -49,3 +49,20 @@
         }
     }};
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a fault that comes with every request and fills the log.
+    #[test]
+    fn a_place_logs_a_few_lines_a_second_and_says_what_it_left_out() {
+        let place = Place::new();
+        let admitted = (0..50).filter(|_| place.admit().is_some()).count();
+        assert_eq!((admitted, place.dropped.get()), (MOST as usize, 45));
+        place.since.set(0);
+        place.dropped.set(45);
+        assert_eq!(place.admit(), Some(45));
+        assert_eq!(place.admit(), Some(0));
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -70,7 +70,7 @@
 }
 
 fn serve(config: Config, deploy: Option<Deploy>) -> Result<(), String> {
-    let shared = Shared::new(config.limits.sockets);
+    let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("{}: can't listen on {}: {e}", config.name, config.listen))?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
@@ -105,12 +105,21 @@
     let front = move |conn| JsonRpc::new(conn, names.clone(), ready.clone());
     shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
     if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
-        if let Some(line) = deploy.directory.clone() {
-            let file = service.users.borrow().clone();
-            shared.spawn(directory::run(line, file, tenants, service.clone(), core.clone()));
-        }
+        let file = service.users.borrow().clone();
+        let reader = deploy.directory.map(|line| {
+            let (service, core) = (service.clone(), core.clone());
+            directory::Reader { line, file, tenants, service, core }
+        });
         let front = move |conn| ClickHouse::new(conn, service.clone());
-        shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
+        let (all, core) = (shared.clone(), core.clone());
+        shared.spawn(async move {
+            // Clients that come before the first reading wait in the listener's line, lest they pass for unknown.
+            if let Some(mut reader) = reader {
+                let pause = reader.once().await;
+                all.spawn(reader.run(pause));
+            }
+            client::listen(all, core, listener, front).await;
+        });
     }
     let flags = shared.clone();
     shared.spawn(async move {
--- a/src/manager/counters.rs
+++ b/src/manager/counters.rs
@@ -26,7 +26,11 @@
     pub stopped: u64,
     /// Answers that came too late, or to nothing: dropped.
     pub stray: u64,
-    /// Readings of the directory that failed.
+    /// Updates of the list of engines.
+    pub lists: u64,
+    /// Readings of the directory that succeeded.
+    pub directory_readings: u64,
+    /// Those that failed.
     pub directory_failures: u64,
     /// How attempts ended.
     pub ends: BTreeMap<End, u64>,
@@ -45,6 +49,7 @@
         write!(f, "taken {taken} served {served} refused {refused} failed {failed} gone {gone} ")?;
         write!(f, "open {} attempts {attempts} withdrawn {withdrawn} probes {probes} ", self.open())?;
         write!(f, "stopped {} stray {} ", self.stopped, self.stray)?;
+        write!(f, "lists {} directory-readings {} ", self.lists, self.directory_readings)?;
         write!(f, "directory-failures {} ends", self.directory_failures)?;
         self.ends.iter().try_for_each(|(end, n)| write!(f, " {end:?}:{n}"))
     }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -210,6 +210,7 @@
 
     /// News of the list of engines.
     pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<EngineEntry>, orders: &mut Vec<Order>) {
+        self.counters.lists += 1;
         if matches!(kind, ListKind::Cached | ListKind::Full) {
             self.engines.values_mut().for_each(|readiness| *readiness = Readiness::Gone);
         }
@@ -219,6 +220,7 @@
 
     /// The tenants' shares changed.
     pub fn tenants(&mut self, tenants: &[TenantSpec]) {
+        self.counters.directory_readings += 1;
         self.module.set_tenants(tenants);
     }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use std::cell::Cell;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -76,6 +77,25 @@
     let _ = core.send(Input::HungUp(conn)).await;
 }
 
+/// The part of one connection in a count over all.
+struct Bytes<'a> {
+    all: &'a Cell<usize>,
+    mine: usize,
+}
+
+impl Bytes<'_> {
+    fn set(&mut self, mine: usize) {
+        self.all.set(self.all.get() - self.mine + mine);
+        self.mine = mine;
+    }
+}
+
+impl Drop for Bytes<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 /// Waiting for room in the module's mailbox holds back this client alone.
 async fn pass_on(core: &Sender<Input>, conn: u64, said: &mut Vec<Said>) {
     for said in said.drain(..) {
@@ -98,14 +118,19 @@
     let _ = stream.get_ref().set_nodelay(true);
     let (mut buffer, mut unwritten, mut written) = (vec![0; 16 * 1024], Vec::new(), 0);
     let (mut said, mut active_at) = (Vec::new(), clock::turn());
+    // Guards the limit on memory against many clients that do not read: all together are counted.
+    let mut busy = None;
+    let mut held = Bytes { all: &shared.unwritten_bytes, mine: 0 };
     loop {
         let writing = written < unwritten.len();
         if !writing && front.last() {
             return End::Done;
         }
         // The program does not end while this one has something to write.
-        let _busy = Held::new(&shared.unwritten, usize::MAX).filter(|_| writing);
-        let full = unwritten.len() - written > MOST_UNWRITTEN;
+        busy = if writing { busy.or_else(|| Held::new(&shared.unwritten, usize::MAX)) } else { None };
+        let waits = unwritten.len() - written;
+        held.set(waits);
+        let full = waits > MOST_UNWRITTEN || shared.unwritten_bytes.get() > shared.most_unwritten_bytes;
         let due = match (writing, front.open()) {
             (true, _) => Some(active_at + WRITE_STALL),
             (false, 0) => Some(active_at + IDLE),
@@ -134,6 +159,7 @@
         match turn {
             Turn::Answer(Some((tag, answer))) => {
                 active_at = if writing { active_at } else { now };
+                busy = busy.or_else(|| Held::new(&shared.unwritten, usize::MAX));
                 front.answer(now, tag, answer, &mut said, &mut unwritten);
                 pass_on(core, conn, &mut said).await;
             }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -82,7 +82,10 @@
         }
         core.manager.due(now, &mut core.orders);
         core.dispatch(now);
-        let quiet = core.manager.counters.open() == 0 && shared.unwritten.get() == 0 && mailbox.is_empty();
+        // Guards against an end that takes the last answer along: it may still be in its client's mailbox, or
+        // not written yet.
+        let handed_on = shared.unwritten.get() == 0 && core.clients.values().all(Sender::is_empty);
+        let quiet = core.manager.counters.open() == 0 && mailbox.is_empty() && handed_on;
         if quiet && core.stop_at.is_some_and(|at| at <= now) {
             return core.manager;
         }
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -47,33 +47,45 @@
     or(reading, late).await
 }
 
-/// Reads the directory for as long as the program runs. `file` holds the users of the deploy file, who come
-/// before those of the directory.
-pub async fn run(
-    line: DirectoryLine,
-    file: Users,
-    mut tenants: Tenants,
-    service: Rc<Service>,
-    core: Sender<Input>,
-) {
-    let mut failures = 0u64;
-    loop {
-        let pause = match read(&line).await {
+/// What a reading changes.
+pub struct Reader {
+    /// Where and what to read.
+    pub line: DirectoryLine,
+    /// The users of the deploy file, who come before those of the directory.
+    pub file: Users,
+    /// The tenants as the module knows them.
+    pub tenants: Tenants,
+    /// Whose users these are.
+    pub service: Rc<Service>,
+    /// The module.
+    pub core: Sender<Input>,
+}
+
+impl Reader {
+    /// Reads once, and tells how many seconds to wait for the next time.
+    pub async fn once(&mut self) -> u64 {
+        match read(&self.line).await {
             Ok(listing) => {
                 let mut users = Users::default();
-                listing.apply(&mut tenants.names, &mut tenants.specs, &mut users);
-                users.extend(&file);
-                *service.users.borrow_mut() = users;
-                let _ = core.send(Input::Tenants(tenants.specs.clone())).await;
-                line.refresh_s
+                listing.apply(&mut self.tenants.names, &mut self.tenants.specs, &mut users);
+                users.extend(&self.file);
+                *self.service.users.borrow_mut() = users;
+                let _ = self.core.send(Input::Tenants(self.tenants.specs.clone())).await;
+                self.line.refresh_s
             }
             Err(fault) => {
-                failures += 1;
-                log!("the directory was not read, the last list stands: {fault:?} (failure {failures})");
-                let _ = core.send(Input::DirectoryFailed).await;
-                line.refresh_s.min(AGAIN_S)
+                log!("the directory was not read, the last list stands: {fault:?}");
+                let _ = self.core.send(Input::DirectoryFailed).await;
+                self.line.refresh_s.min(AGAIN_S)
             }
-        };
-        Timer::after(Duration::from_secs(pause)).await;
+        }
+    }
+
+    /// Reads for as long as the program runs.
+    pub async fn run(mut self, mut pause: u64) {
+        loop {
+            Timer::after(Duration::from_secs(pause)).await;
+            pause = self.once().await;
+        }
     }
 }
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -97,12 +97,13 @@
         }
         for listed in &update.engines {
             let id = listed.entry.id;
-            // An engine is its id. Under another address it is another process: the old one's connections end
-            // with what is on them, and the new one gets its own.
+            // An engine is its id, and under another address it is another process. Guards against attempts that
+            // nobody could give up any more: with its mailbox the old actor ends, its connections, and what is on
+            // them.
             let same = known.get(&id).is_some_and(|k| k.listed.addr == listed.addr && !k.actor.is_closed());
             if !same && listed.entry.readiness != Readiness::Gone {
                 if let Some(old) = known.get_mut(&id) {
-                    mark(old, Readiness::Gone);
+                    old.actor.close();
                 }
                 let actor = make(listed);
                 made.push((id, actor.clone()));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,10 @@
     pub most_client_sockets: usize,
     /// Client connections that still have answers to write.
     pub unwritten: Cell<usize>,
+    /// Bytes that clients have not taken yet, over all connections, and how many stop the reading of requests.
+    pub unwritten_bytes: Cell<usize>,
+    /// That many.
+    pub most_unwritten_bytes: usize,
     /// The next number of a client connection.
     pub next_conn: Cell<u64>,
     /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
@@ -39,8 +43,9 @@
 }
 
 impl Shared {
-    /// For a program that may hold so many descriptors: half for clients, a quarter for engines.
-    pub fn new(sockets: usize) -> Rc<Shared> {
+    /// For a program that may hold so many descriptors, half for clients and a quarter for engines, and so much
+    /// memory, a sixth for answers that wait for their clients.
+    pub fn new(sockets: usize, memory_mb: u64) -> Rc<Shared> {
         Rc::new(Shared {
             executor: Rc::new(LocalExecutor::new()),
             ready: Cell::new(false),
@@ -50,6 +55,8 @@
             client_sockets: Cell::new(0),
             most_client_sockets: (sockets / 2).max(4),
             unwritten: Cell::new(0),
+            unwritten_bytes: Cell::new(0),
+            most_unwritten_bytes: ((memory_mb.clamp(6, 1 << 20) / 6) as usize) << 20,
             next_conn: Cell::new(1),
             databases: Cell::new(false),
         })
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -89,8 +89,8 @@
 fn nothing_new_goes_to_an_engine_that_drains() {
     on_both(
         "engine one KIND\nengine two KIND\nstart\nask a LOOKUP\nexpect a served\n\
-        cut\ndrain one\nwait 400\nask b LOOKUP\nexpect b served\nask c LOAD\nexpect c served\n\
-        ask d LOOKUP\nexpect d served\nready one\ndrain two\nwait 400\nask e LOOKUP\nexpect e served\n\
+        cut\ndrain one\nuntil lists 2\nask b LOOKUP\nexpect b served\nask c LOAD\nexpect c served\n\
+        ask d LOOKUP\nexpect d served\nready one\ndrain two\nuntil lists 4\nask e LOOKUP\nexpect e served\n\
         term\nended\ncounter served 5\ncounter open 0",
     );
 }
@@ -108,7 +108,7 @@
 #[test]
 fn a_planned_end_answers_what_is_open() {
     on_both(
-        "engine one KIND\nstart\non one rows 150 5\nask a LOOKUP\nseen a\nterm\nask b LOOKUP\nexpect b served\n\
+        "engine one KIND\nstart\non one rows 2000 5\nask a LOAD\nseen a\nterm\nask b LOOKUP\nexpect b served\n\
         expect a served 5\nended\ncounter taken 2\ncounter served 2\ncounter open 0",
     );
 }
@@ -131,13 +131,25 @@
     play(
         "engine one clickhouse\ntenant billing-desk 3\ntenant channel-desk 1\ntenant night-desk 1\n\
         person anna secret billing-desk\nperson bert secret channel-desk\nperson carl secret night-desk\n\
-        person dora secret -\nstart\nwait 500\nask a http anna secret 5 SELECT 1\nexpect a served\n\
+        person dora secret -\nstart\nask a http anna secret 5 SELECT 1\nexpect a served\n\
         ask b http carl secret 5 SELECT 1\nexpect b served\nask c http dora secret 5 SELECT 1\nexpect c rejected 403\n\
-        ask d http emil secret 5 SELECT 1\nexpect d rejected 401\nperson emil secret night-desk\nwait 2500\n\
+        ask d http emil secret 5 SELECT 1\nexpect d rejected 401\nperson emil secret night-desk\nuntil directory-readings +2\n\
         ask e http emil secret 5 SELECT 1\nexpect e served\nterm\nended\ncounter directory-failures 0",
     );
 }
 
+/// A directory that fails leaves the last good list in force, and is counted.
+#[test]
+fn a_directory_that_fails_keeps_the_last_list() {
+    play(
+        "engine one platform\ntenant billing-desk 1\nperson anna secret billing-desk\nstart\n\
+        ask a http anna secret 5 SELECT 1\nexpect a served\nbusy\nperson bert secret billing-desk\n\
+        until directory-failures +2\nask b http anna secret 5 SELECT 1\nexpect b served\n\
+        ask c http bert secret 5 SELECT 1\nexpect c rejected 401\nidle\nuntil directory-readings +1\n\
+        ask d http bert secret 5 SELECT 1\nexpect d served\nterm\nended\ncounter served 3",
+    );
+}
+
 /// A client that hangs up within its answer ends nothing but its connection.
 #[test]
 fn a_client_may_hang_up_within_its_answer() {
