--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -498,3 +498,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/clickhouse.rs"]
+mod tests;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -30,6 +30,11 @@
     play(include_str!("../rehearsals/mixed.txt"));
 }
 
+#[test]
+fn what_engines_can_do_to_a_query() {
+    play(include_str!("../rehearsals/faults.txt"));
+}
+
 /// Guards rule 2: an error, a reset or half an answer may come after the load began.
 #[test]
 fn a_load_that_may_have_run_fails_and_is_not_sent_again() {
