--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -221,3 +221,7 @@
         false
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/inside/jsonrpc.rs"]
+mod tests;
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -45,6 +45,7 @@
     task: Option<Task<()>>,
     got: Rc<RefCell<Option<Got>>>,
     leaves: Rc<Cell<bool>>,
+    told: bool,
 }
 
 struct Stage<'a> {
@@ -103,6 +104,13 @@
                 break;
             }
         }
+        // Each end is told, also where the script expects nothing of it.
+        for (name, query) in self.queries.iter().filter(|(_, q)| !q.told) {
+            match &*query.got.borrow() {
+                Some(got) => (self.said)(&format!("{name}: {got}")),
+                None => (self.said)(&format!("{name}: its client left")),
+            }
+        }
         wrong.extend(self.book.broken().into_iter().map(|rule| format!("broken rule: {rule}")));
         wrong
     }
@@ -207,7 +215,10 @@
                     };
                     *end.borrow_mut() = Some(ended);
                 });
-                self.queries.insert(name.to_owned(), Query { task: Some(task), got, leaves: Rc::default() });
+                self.queries.insert(
+                    name.to_owned(),
+                    Query { task: Some(task), got, leaves: Rc::default(), told: false },
+                );
             }
             ["drop", name] => {
                 let query = self.queries.get_mut(name).ok_or("no such query")?;
@@ -299,12 +310,13 @@
             }
             _ => return Err("ask how?".into()),
         };
-        self.queries.insert(name.to_owned(), Query { task: Some(task), got, leaves });
+        self.queries.insert(name.to_owned(), Query { task: Some(task), got, leaves, told: false });
         Ok(())
     }
 
     async fn expect(&mut self, name: &str, end: &[&str]) -> Result<(), String> {
-        let query = self.queries.get(name).ok_or("no such query")?;
+        let query = self.queries.get_mut(name).ok_or("no such query")?;
+        query.told = true;
         eventually(|| query.got.borrow().is_some()).await;
         let got = query.got.borrow().clone().ok_or("it has no end")?;
         (self.said)(&format!("{name}: {got}"));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -205,6 +205,23 @@
     play(&(text + "expect b served\nterm\nended\ncounter taken 2\ncounter served 2\ncounter open 0"));
 }
 
+/// A database is taken where every engine in service knows databases, and nowhere else.
+#[test]
+fn a_database_is_taken_where_all_engines_know_it() {
+    let ask = |name: &str| {
+        let query = format!("SELECT+1+%2F*+{name}+*%2F");
+        format!(
+            "raw {name} http GET /?user=anna&password=secret&database=ops_1&query={query} HTTP/1.1\\r\\n\\r\\n\n"
+        )
+    };
+    play(&format!(
+        "engine web clickhouse\nengine lines platform\nuser anna secret billing-desk\nstart\n{}expect a rejected 400\n\
+        drain lines\nuntil lists 2\n{}expect b served\nterm\nended\ncounter taken 1\ncounter served 1",
+        ask("a"),
+        ask("b")
+    ));
+}
+
 /// A configuration that can't be used ends the program with one clear line.
 #[test]
 fn a_bad_configuration_is_one_line_and_a_failure() {
