Read the configuration again on SIGHUP and move the coordinator's follower

At fault: main.rs waited for TERM, INT and USR1 only, and the follower knew one address for good. Ruled out: a loss of engines or requests at the move itself, as the scenario keeps a load open across one. Now a second connection goes on from the number where all stand, while the old one is read until it ends; a file that can't be used changes nothing. A break after a word no longer doubles the pause; silence is noticed after 1.8 s.

--- a/src/config.rs
+++ b/src/config.rs
@@ -35,7 +35,7 @@
 }
 
 /// The words of the settings that the core and the fronts need beside those of the module.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Classes, in the order of the settings.
     pub classes: Vec<String>,
--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -21,7 +21,7 @@
 /// What all connections of this front share.
 pub struct Service {
     /// Which statements belong to which class.
-    pub rules: ClassRules,
+    pub rules: RefCell<ClassRules>,
     /// Who belongs to which tenant.
     pub users: RefCell<Users>,
     /// How long a class's clients wait over all their tries.
@@ -322,7 +322,7 @@
         if database.is_some() && !(self.service.databases)() {
             return Err(NO_DATABASES);
         }
-        let class = self.service.rules.class(&user, &statement);
+        let class = self.service.rules.borrow().class(&user, &statement);
         let at = usize::from(class.0);
         // Both kinds of statement may come by POST; GET is for what only reads, as caches and proxies hold it.
         if head.first[0] == "GET" && self.service.loads.get(at).copied().unwrap_or(false) {
--- a/src/kit/coordinator.rs
+++ b/src/kit/coordinator.rs
@@ -52,8 +52,17 @@
 impl Coordinator {
     /// Starts one.
     pub fn start(executor: &Executor) -> Coordinator {
+        Coordinator::with(executor, Vec::new())
+    }
+
+    /// Starts another one that goes on with the numbers of this one.
+    pub fn successor(&self, executor: &Executor) -> Coordinator {
+        Coordinator::with(executor, self.frames.borrow().clone())
+    }
+
+    fn with(executor: &Executor, frames: Vec<Vec<u8>>) -> Coordinator {
         let (listener, addr) = listener();
-        let frames: Rc<RefCell<Vec<Vec<u8>>>> = Rc::default();
+        let frames: Rc<RefCell<Vec<Vec<u8>>>> = Rc::new(RefCell::new(frames));
         let breaks: Rc<RefCell<u64>> = Rc::default();
         let (all, broken, spawner) = (frames.clone(), breaks.clone(), executor.clone());
         let serve = async move {
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -83,6 +83,7 @@
     /// Where clients of the platform's protocol connect.
     pub listen: SocketAddr,
     folder: Folder,
+    known: Value,
 }
 
 impl Daemon {
@@ -105,7 +106,7 @@
         let log = std::fs::File::create(folder.0.join("log")).map_err(|e| e.to_string())?;
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         let child = child.map_err(|e| format!("{}: {e}", program.display()))?;
-        let mut daemon = Daemon { child, listen, folder };
+        let mut daemon = Daemon { child, listen, folder, known: known.clone() };
         for _ in 0..2_000 {
             if clients::green(listen).await {
                 return Ok(daemon);
@@ -125,6 +126,15 @@
         }
     }
 
+    /// Writes a new configuration that names another coordinator, or one that can't be used, and says so.
+    pub fn reload(&self, coordinator: Option<SocketAddr>) -> Result<(), String> {
+        let good = |at| config(self.listen, at, &self.known).to_string();
+        let text = coordinator.map_or("{".to_owned(), good);
+        self.folder.put("config.json", &text).map_err(|e| e.to_string())?;
+        self.signal(rustix::process::Signal::HUP);
+        Ok(())
+    }
+
     /// Asks it to end.
     pub fn term(&self) {
         self.signal(rustix::process::Signal::TERM);
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -19,6 +19,8 @@
 //! | `drain\|ready\|gone ENGINE` | news of the coordinator |
 //! | `down ENGINE` | its process ends |
 //! | `cut` | the coordinator's connections break |
+//! | `move` | another coordinator takes over, and the daemon is told by a new configuration and SIGHUP |
+//! | `spoil` | the daemon is told to read a configuration that can't be used |
 //! | `until COUNTER VALUE` | waits until a counter of the daemon has come so far; `+N` is N more than now |
 //! | `busy`, `idle` | the directory answers searches with an error; answers again |
 //! | `wait MS` | |
@@ -238,6 +240,12 @@
             }
             ["down", name] => self.engines.get_mut(name).ok_or("no such engine")?.0.down(),
             ["cut"] => self.coordinator.cut(),
+            ["move"] => {
+                // The old one tells nothing further, and its connections stay open.
+                self.coordinator = self.coordinator.successor(&self.executor);
+                self.daemon.as_ref().ok_or("not started")?.reload(Some(self.coordinator.addr))?;
+            }
+            ["spoil"] => self.daemon.as_ref().ok_or("not started")?.reload(None)?,
             ["until", name, value] => {
                 let daemon = self.daemon.as_ref().ok_or("not started")?;
                 // With a plus: so many more than now, as the daemon says when asked anew.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use futures_lite::StreamExt;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +20,10 @@
 use yokelift::front::jsonrpc::JsonRpc;
 use yokelift::interface::Readiness;
 use yokelift::manager::Manager;
+use yokelift::net::coordinator::Move;
 use yokelift::net::core::Input;
 use yokelift::net::list::Http;
+use yokelift::net::reload::{Reload, Second};
 use yokelift::net::{Shared, client, coordinator, core, directory, list};
 use yokelift::{clock, log};
 
@@ -55,7 +57,7 @@
 ) -> Result<Service, String> {
     let (databases, stopping, next) = (shared.clone(), shared.clone(), Cell::new(config.seed));
     Ok(Service {
-        rules: ClassRules::new(deploy, names)?,
+        rules: RefCell::new(ClassRules::new(deploy, names)?),
         users: RefCell::new(Users::new(deploy, names)?),
         deadlines: config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect(),
         loads: config.settings.classes.iter().map(|c| c.is_load).collect(),
@@ -69,11 +71,17 @@
     })
 }
 
-fn serve(config: Config, deploy: Option<Deploy>) -> Result<(), String> {
+/// The files that the program was started with; it reads them again on SIGHUP.
+struct Files {
+    config: PathBuf,
+    deploy: Option<PathBuf>,
+}
+
+fn serve(config: Config, deploy: Option<Deploy>, files: Files) -> Result<(), String> {
     let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("{}: can't listen on {}: {e}", config.name, config.listen))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
         .map_err(|e| format!("can't wait for signals: {e}"))?;
     let names = Rc::new(config.names.clone());
     let http = deploy.as_ref().map(|d| http_engines(d, &names)).transpose()?.unwrap_or_default();
@@ -90,22 +98,38 @@
     let (updates, list_mailbox) = bounded(list::MAILBOX);
     let make = list::engines(shared.clone(), core.clone(), names.clone(), http.clone());
     shared.spawn(list::run(shared.clone(), core.clone(), list_mailbox, make, http));
+    let (coordinator, moves) = bounded(1);
+    let (listen, addr, move_on) = (config.listen, config.coordinator, coordinator.clone());
     let (flags, feed) = (shared.clone(), updates.clone());
     shared.spawn(async move {
         for update in known {
             let _ = feed.send(update).await;
         }
         let ready = flags.clone();
-        flags.spawn(coordinator::run(config.coordinator, last, feed, move || ready.ready.set(true)));
+        let heard = move || ready.ready.set(true);
+        flags.spawn(coordinator::run(flags.clone(), last, moves, feed, heard));
+        let _ = move_on.send(Move { addr, known: Vec::new() }).await;
         Timer::after(READY_ANYWAY).await;
         flags.ready.set(true);
     });
+    let mut reload = Reload {
+        path: files.config,
+        names: names.clone(),
+        listen,
+        second: None,
+        shared: shared.clone(),
+        coordinator,
+        core: core.clone(),
+    };
     let flags = shared.clone();
     let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.ready.get() && !flags.stopping.get());
     let front = move |conn| JsonRpc::new(conn, names.clone(), ready.clone());
     shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
     if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
-        let file = service.users.borrow().clone();
+        let file = Rc::new(RefCell::new(service.users.borrow().clone()));
+        let directory = deploy.directory.is_some();
+        reload.second =
+            files.deploy.map(|path| Second { path, service: service.clone(), file: file.clone(), directory });
         let reader = deploy.directory.map(|line| {
             let (service, core) = (service.clone(), core.clone());
             directory::Reader { line, file, tenants, service, core }
@@ -126,6 +150,16 @@
         while let Some(Ok(signal)) = signals.next().await {
             let input = match signal {
                 Signal::Usr1 => Input::Report,
+                Signal::Hup => match reload.again().await {
+                    Ok(()) => {
+                        log!("read the configuration again");
+                        Input::Reloaded(true)
+                    }
+                    Err(e) => {
+                        log!("the configuration can't be used, the old one stands: {e}");
+                        Input::Reloaded(false)
+                    }
+                },
                 _ => {
                     log!("asked to end: answering what is open");
                     flags.stopping.set(true);
@@ -144,11 +178,13 @@
 fn run() -> Result<(), String> {
     let path = std::env::var_os("PROXY_CONFIG").ok_or("PROXY_CONFIG names no configuration file")?;
     let mut files = std::env::args_os().skip(1);
-    let deploy = files.next().map(|file| deploy::read(Path::new(&file))).transpose()?;
+    let second = files.next().map(PathBuf::from);
+    let deploy = second.as_deref().map(deploy::read).transpose()?;
     if files.next().is_some() {
         return Err("use: yokelift [DEPLOY-FILE]".into());
     }
-    serve(config::read(&PathBuf::from(path))?, deploy)
+    let files = Files { config: PathBuf::from(path), deploy: second };
+    serve(config::read(&files.config)?, deploy, files)
 }
 
 fn main() -> ExitCode {
--- a/src/manager/counters.rs
+++ b/src/manager/counters.rs
@@ -32,6 +32,10 @@
     pub directory_readings: u64,
     /// Those that failed.
     pub directory_failures: u64,
+    /// Readings of a new configuration that could be used.
+    pub reloads: u64,
+    /// Those that could not, and left the old one in force.
+    pub reload_failures: u64,
     /// How attempts ended.
     pub ends: BTreeMap<End, u64>,
 }
@@ -50,7 +54,8 @@
         write!(f, "open {} attempts {attempts} withdrawn {withdrawn} probes {probes} ", self.open())?;
         write!(f, "stopped {} stray {} ", self.stopped, self.stray)?;
         write!(f, "lists {} directory-readings {} ", self.lists, self.directory_readings)?;
-        write!(f, "directory-failures {} ends", self.directory_failures)?;
+        write!(f, "directory-failures {} reloads {} ", self.directory_failures, self.reloads)?;
+        write!(f, "reload-failures {} ends", self.reload_failures)?;
         self.ends.iter().try_for_each(|(end, n)| write!(f, " {end:?}:{n}"))
     }
 }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -220,7 +220,6 @@
 
     /// The tenants' shares changed.
     pub fn tenants(&mut self, tenants: &[TenantSpec]) {
-        self.counters.directory_readings += 1;
         self.module.set_tenants(tenants);
     }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -41,7 +41,7 @@
                 let front = front(conn);
                 shared.spawn(async move { actor(all, core, stream, conn, front).await });
                 // Guards the limit on sockets: further clients wait in the listener's line.
-                while shared.client_sockets.get() >= shared.most_client_sockets {
+                while shared.client_sockets.get() >= shared.most_client_sockets.get() {
                     Timer::after(Duration::from_millis(10)).await;
                 }
             }
@@ -130,7 +130,7 @@
         busy = if writing { busy.or_else(|| Held::new(&shared.unwritten, usize::MAX)) } else { None };
         let waits = unwritten.len() - written;
         held.set(waits);
-        let full = waits > MOST_UNWRITTEN || shared.unwritten_bytes.get() > shared.most_unwritten_bytes;
+        let full = waits > MOST_UNWRITTEN || shared.unwritten_bytes.get() > shared.most_unwritten_bytes.get();
         let due = match (writing, front.open()) {
             (true, _) => Some(active_at + WRITE_STALL),
             (false, 0) => Some(active_at + IDLE),
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -1,20 +1,23 @@
-//! The actor of the coordinator: follows its numbered events and comes back after every break.
+//! The actor of the coordinator: follows its numbered events, comes back after every break, and moves with it.
 use super::list::{Update, parse_record};
-use super::until;
+use super::{Shared, until};
 use crate::clock::{self, MS, Micros, SEC};
 use crate::log;
 use crate::manager::ends::End;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A frame longer than this is not the protocol: it would hold tens of thousands of engines.
 const MOST_FRAME: usize = 2 * 1024 * 1024;
-/// An empty frame comes each second: a connection without one for so long is dead.
-const SILENT: Micros = 2_500 * MS;
+/// An empty frame comes each second: a connection without one for so long is dead. Guards against a coordinator
+/// that stops and stays open: the sooner it is asked again, the sooner what it has to tell is known.
+const SILENT: Micros = 1_800 * MS;
 const CONNECT: Micros = SEC;
 /// Time between tries to connect: doubled from the first to the last.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -47,24 +50,32 @@
     Ok(Some((frame, 4 + length)))
 }
 
-/// Where the follower stands.
+/// How far the events have come, over all connections: the numbers go on when the coordinator moves.
+#[derive(Default)]
+pub struct Place {
+    last: Cell<u64>,
+    /// A connection showed a gap once: the events between are not to be had.
+    gap: Cell<bool>,
+    /// The number of the newest address; connections to older ones are not made again.
+    newest: Cell<u64>,
+}
+
+/// One connection's reader.
 pub struct Follower {
-    last: u64,
+    place: Rc<Place>,
     input: Vec<u8>,
-    /// Its connection showed a gap once: the events between are not to be had.
-    gap: bool,
 }
 
 impl Follower {
-    /// One that has the events up to that number.
-    pub fn new(last: u64) -> Follower {
-        Follower { last, input: Vec::new(), gap: false }
+    /// One that goes on from there.
+    pub fn new(place: Rc<Place>) -> Follower {
+        Follower { place, input: Vec::new() }
     }
 
     /// What it writes on a new connection.
     pub fn hello(&mut self) -> [u8; 8] {
         self.input.clear();
-        self.last.to_be_bytes()
+        self.place.last.get().to_be_bytes()
     }
 
     /// Reads what came. Guards against a gap in the numbers: it asks again from the last event it has, and takes
@@ -79,14 +90,16 @@
                 Ok(Some((Frame::Empty, length))) => used += length,
                 Ok(Some((Frame::Event(index, whole, records), length))) => {
                     used += length;
-                    if index <= self.last {
+                    let last = self.place.last.get();
+                    if index <= last {
                         continue;
                     }
-                    if index > self.last + 1 && !whole && !self.gap {
-                        self.gap = true;
+                    if index > last + 1 && !whole && !self.place.gap.get() {
+                        self.place.gap.set(true);
                         break Err(End::Dropped);
                     }
-                    (self.last, self.gap) = (index, false);
+                    self.place.last.set(index);
+                    self.place.gap.set(false);
                     let engines = records.iter().filter_map(parse_record).collect();
                     updates.push(Update { index, whole, engines });
                 }
@@ -101,14 +114,50 @@
     }
 }
 
-/// Runs the follower. `heard` is called once the coordinator has spoken.
-pub async fn run(addr: SocketAddr, last: u64, list: Sender<Update>, heard: impl Fn()) {
-    let (mut follower, mut pause) = (Follower::new(last), FIRST_PAUSE);
-    loop {
-        let from = follower.last;
-        let end = follow(addr, &mut follower, &list, &heard).await;
+/// Where the coordinator is from now on, and the events that came with the news.
+pub struct Move {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Events; those already known are passed over.
+    pub known: Vec<Update>,
+}
+
+/// Runs the follower from the last event that is known; `heard` is called once the coordinator has spoken.
+/// After a move the new address is followed at once, and the old connection read until it ends.
+pub async fn run(
+    shared: Rc<Shared>,
+    last: u64,
+    moves: Receiver<Move>,
+    list: Sender<Update>,
+    heard: impl Fn() + Clone + 'static,
+) {
+    let place = Rc::new(Place { last: Cell::new(last), ..Place::default() });
+    let mut at = None;
+    while let Ok(Move { addr, known }) = moves.recv().await {
+        for update in known.into_iter().filter(|u| u.index > place.last.get()) {
+            place.last.set(update.index);
+            let _ = list.send(update).await;
+        }
+        if at.replace(addr) != Some(addr) {
+            place.newest.set(place.newest.get() + 1);
+            shared.spawn(stay(addr, place.clone(), list.clone(), heard.clone()));
+        }
+    }
+}
+
+/// Follows one address for as long as it is the newest, and its last connection until that ends.
+async fn stay(addr: SocketAddr, place: Rc<Place>, list: Sender<Update>, heard: impl Fn()) {
+    let (mine, mut pause) = (place.newest.get(), FIRST_PAUSE);
+    while place.newest.get() == mine {
+        let (mut follower, spoke) = (Follower::new(place.clone()), Cell::new(false));
+        let told = || {
+            spoke.set(true);
+            heard();
+        };
+        let end = follow(addr, &mut follower, &list, &told).await;
         log!("the coordinator's connection ended: {end:?}");
-        pause = if follower.last > from { FIRST_PAUSE } else { (pause * 2).min(LAST_PAUSE) };
+        // Guards against waiting long for one that only breaks off now and then.
+        pause = if spoke.get() { FIRST_PAUSE } else { (pause * 2).min(LAST_PAUSE) };
         Timer::after(pause).await;
     }
 }
@@ -164,11 +213,27 @@
         out
     }
 
+    fn at(last: u64) -> Rc<Place> {
+        Rc::new(Place { last: Cell::new(last), ..Place::default() })
+    }
+
+    /// Guards the numbers across a move: a second connection tells nothing twice and goes on where all stand.
+    #[test]
+    fn two_connections_tell_each_event_once() {
+        let place = at(3);
+        let (mut old, mut new) = (Follower::new(place.clone()), Follower::new(place));
+        assert_eq!(old.feed(&event(4, 2, 1)).unwrap().len(), 1);
+        assert_eq!(new.hello(), 4u64.to_be_bytes());
+        assert_eq!(new.feed(&event(5, 2, 1)).unwrap().len(), 1);
+        assert_eq!(old.feed(&[event(5, 2, 1), event(6, 2, 1)].concat()).unwrap()[0].index, 6);
+        assert!(new.feed(&event(6, 2, 1)).unwrap().is_empty());
+    }
+
     #[test]
     fn events_come_once_and_in_order_however_the_bytes_are_cut() {
         let wire = [event(4, 1, 2), event(4, 0, 0), event(4, 1, 2), event(5, 2, 1)].concat();
         for step in 1..wire.len() {
-            let mut follower = Follower::new(3);
+            let mut follower = Follower::new(at(3));
             let pieces = wire.chunks(step).flat_map(|piece| follower.feed(piece).unwrap());
             let got: Vec<(u64, bool, usize)> = pieces.map(|u| (u.index, u.whole, u.engines.len())).collect();
             assert_eq!(got, [(4, true, 2), (5, false, 1)]);
@@ -178,7 +243,7 @@
     /// Guards against missed changes: a gap is asked for once more, and not forever.
     #[test]
     fn a_gap_is_asked_for_again_once() {
-        let mut follower = Follower::new(3);
+        let mut follower = Follower::new(at(3));
         assert_eq!(follower.feed(&event(6, 2, 1)).unwrap_err(), End::Dropped);
         assert_eq!(follower.hello(), 3u64.to_be_bytes());
         assert_eq!(follower.feed(&event(6, 2, 1)).unwrap()[0].index, 6);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -45,10 +45,14 @@
     },
     /// News of the list, and the actors of new engines.
     List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>),
-    /// The tenants' shares, as the directory has them.
+    /// The tenants' shares, as a new configuration or the directory has them.
     Tenants(Vec<TenantSpec>),
+    /// The directory was read.
+    DirectoryRead,
     /// The directory could not be read.
     DirectoryFailed,
+    /// The configuration was read again, and could be used or not.
+    Reloaded(bool),
     /// Print the counters.
     Report,
     /// End once all is answered.
@@ -112,6 +116,9 @@
                 manager.list(now, kind, entries, orders);
             }
             Input::Tenants(tenants) => manager.tenants(&tenants),
+            Input::DirectoryRead => manager.counters.directory_readings += 1,
+            Input::Reloaded(true) => manager.counters.reloads += 1,
+            Input::Reloaded(false) => manager.counters.reload_failures += 1,
             Input::DirectoryFailed => manager.counters.directory_failures += 1,
             Input::Report => eprintln!("yokelift: {}", manager.counters),
             Input::Stop => self.stop_at = Some(self.stop_at.unwrap_or(now + LINGER)),
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::RefCell;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -52,7 +53,7 @@
     /// Where and what to read.
     pub line: DirectoryLine,
     /// The users of the deploy file, who come before those of the directory.
-    pub file: Users,
+    pub file: Rc<RefCell<Users>>,
     /// The tenants as the module knows them.
     pub tenants: Tenants,
     /// Whose users these are.
@@ -68,9 +69,10 @@
             Ok(listing) => {
                 let mut users = Users::default();
                 listing.apply(&mut self.tenants.names, &mut self.tenants.specs, &mut users);
-                users.extend(&self.file);
+                users.extend(&self.file.borrow());
                 *self.service.users.borrow_mut() = users;
                 let _ = self.core.send(Input::Tenants(self.tenants.specs.clone())).await;
+                let _ = self.core.send(Input::DirectoryRead).await;
                 self.line.refresh_s
             }
             Err(fault) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod engine;
 pub mod list;
+pub mod reload;
 
 use crate::clock::{self, Micros};
 use async_executor::LocalExecutor;
@@ -25,17 +26,17 @@
     /// Connections to engines, and how many there may be.
     pub engine_sockets: Cell<usize>,
     /// How many there may be.
-    pub most_engine_sockets: usize,
+    pub most_engine_sockets: Cell<usize>,
     /// Connections of clients.
     pub client_sockets: Cell<usize>,
     /// How many there may be.
-    pub most_client_sockets: usize,
+    pub most_client_sockets: Cell<usize>,
     /// Client connections that still have answers to write.
     pub unwritten: Cell<usize>,
     /// Bytes that clients have not taken yet, over all connections, and how many stop the reading of requests.
     pub unwritten_bytes: Cell<usize>,
     /// That many.
-    pub most_unwritten_bytes: usize,
+    pub most_unwritten_bytes: Cell<usize>,
     /// The next number of a client connection.
     pub next_conn: Cell<u64>,
     /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
@@ -46,20 +47,29 @@
     /// For a program that may hold so many descriptors, half for clients and a quarter for engines, and so much
     /// memory, a sixth for answers that wait for their clients.
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Shared> {
-        Rc::new(Shared {
+        let shared = Rc::new(Shared {
             executor: Rc::new(LocalExecutor::new()),
             ready: Cell::new(false),
             stopping: Cell::new(false),
             engine_sockets: Cell::new(0),
-            most_engine_sockets: (sockets / 4).max(4),
+            most_engine_sockets: Cell::new(0),
             client_sockets: Cell::new(0),
-            most_client_sockets: (sockets / 2).max(4),
+            most_client_sockets: Cell::new(0),
             unwritten: Cell::new(0),
             unwritten_bytes: Cell::new(0),
-            most_unwritten_bytes: ((memory_mb.clamp(6, 1 << 20) / 6) as usize) << 20,
+            most_unwritten_bytes: Cell::new(0),
             next_conn: Cell::new(1),
             databases: Cell::new(false),
-        })
+        });
+        shared.limit(sockets, memory_mb);
+        shared
+    }
+
+    /// Sets the limits: those of the start, or new ones.
+    pub fn limit(&self, sockets: usize, memory_mb: u64) {
+        self.most_engine_sockets.set((sockets / 4).max(4));
+        self.most_client_sockets.set((sockets / 2).max(4));
+        self.most_unwritten_bytes.set(((memory_mb.clamp(6, 1 << 20) / 6) as usize) << 20);
     }
 
     /// Starts an actor.
--- a/tests/inside/clickhouse.rs
+++ b/tests/inside/clickhouse.rs
@@ -24,7 +24,10 @@
     let (databases, stopping, new_key) =
         (Box::new(|| true), Box::new(|| false), Box::new(|| "00ff".to_owned()));
     let (deadlines, loads) = (vec![6 * SEC, 15 * SEC, 25 * SEC], vec![false, false, true]);
-    Front::new(9, Rc::new(Service { rules, users, deadlines, loads, databases, stopping, new_key }))
+    Front::new(
+        9,
+        Rc::new(Service { rules: rules.into(), users, deadlines, loads, databases, stopping, new_key }),
+    )
 }
 
 fn feed(front: &mut Front, bytes: &[u8]) -> (Vec<Ask>, String) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -100,6 +100,18 @@
     );
 }
 
+/// Guards against an end by SIGHUP, and against numbers that start anew with the coordinator's address: what was
+/// open goes on, the next events come from the new one, and a file that can't be used changes nothing.
+#[test]
+fn a_new_configuration_moves_the_coordinator_and_keeps_requests() {
+    on_both(
+        "engine one KIND\nengine two KIND\nstart\non one rows 400 3\non two rows 400 3\ndrain two\nuntil lists 2\n\
+        ask a LOAD\nseen a\nmove\nuntil reloads 1\nspoil\nuntil reload-failures 1\nexpect a served\n\
+        ready two\ndrain one\nuntil lists 4\nask b LOAD\nexpect b served\nruns b 1\n\
+        move\nuntil reloads 2\nready one\nuntil lists 5\nterm\nended\ncounter served 2\ncounter open 0",
+    );
+}
+
 /// A refused connection proves that nothing ran, so even a load goes elsewhere.
 #[test]
 fn an_engine_that_is_down_costs_no_answer() {
