Shed the idlest client instead of not accepting, and write the last word before a close

At fault: listen() accepted a whole backlog before any actor had run, so its count of sockets was late; IDLE was 60 s; serve() returned on a fault of feed() without writing; one connection that can always be read never gave way; and two open requests under one name shared a place in the engine's wire (Platform::running), so one took the other's answer. Now a silent client is let go after 2.5 s, half a message gets an error, the idlest is shed, buffers are shared, a client turned away again and again is read more slowly, and a name that is in use is an error.

--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -1,5 +1,5 @@
 //! The ClickHouse HTTP interface for clients: one query at a time on a connection that is kept alive.
-use super::{Front, Said};
+use super::{Cut, Front, Said};
 use crate::clock::{MS, Micros, SEC};
 use crate::deploy::{ClassRules, Users};
 use crate::http::{self, Body, Fault, Head};
@@ -14,6 +14,8 @@
 const MOST_STATEMENT: usize = 256 * 1024;
 /// What a client may have sent behind a request that is still open.
 const MOST_AHEAD: usize = 64 * 1024;
+/// What an idle connection keeps of its buffer.
+const SMALL: usize = 4 * 1024;
 /// Bytes of one chunk of an answer.
 const CHUNK: usize = 32 * 1024;
 const SERVER: &str = "X-ClickHouse-Server-Display-Name: yokelift\r\nX-ClickHouse-Timezone: UTC\r\n";
@@ -42,6 +44,9 @@
 const MALFORMED: Wrong = (400, 27, "CANNOT_PARSE_INPUT_ASSERTION_FAILED", "the request is not HTTP/1.1");
 const TOO_LONG: Wrong = (413, 307, "TOO_MANY_BYTES", "the statement is too long");
 const HEAD_TOO_LONG: Wrong = (431, 307, "TOO_MANY_BYTES", "the head of the request is too long");
+const TOO_SLOW: Wrong = (408, 209, "SOCKET_TIMEOUT", "the request did not come whole in time");
+const NO_ROOM: Wrong =
+    (503, 202, "TOO_MANY_SIMULTANEOUS_QUERIES", "there is no room for long statements now: try again later");
 const UNSUPPORTED: Wrong = (501, 48, "NOT_IMPLEMENTED", "this transfer coding is not supported");
 const NO_PAGE: Wrong = (404, 60, "UNKNOWN_TABLE", "there is no such page");
 const NO_METHOD: Wrong = (405, 48, "NOT_IMPLEMENTED", "use GET or POST");
@@ -163,12 +168,18 @@
     input: Vec<u8>,
     state: State,
     tags: u64,
+    /// Since when the request has begun that is not whole, and how many were whole before it.
+    began: Option<Micros>,
+    seen: u64,
+    useful: bool,
+    strikes: u64,
 }
 
 impl ClickHouse {
     /// A new connection.
     pub fn new(conn: u64, service: Rc<Service>) -> ClickHouse {
-        ClickHouse { conn, service, input: Vec::new(), state: State::Head, tags: 0 }
+        let (input, state, tags) = (Vec::new(), State::Head, 0);
+        ClickHouse { conn, service, input, state, tags, began: None, seen: 0, useful: false, strikes: 0 }
     }
 
     /// Reads on until a request is open or more bytes are needed.
@@ -221,11 +232,26 @@
         }
     }
 
+    /// Reads on, and notes since when the request has begun that is not whole.
+    fn read_on(&mut self, now: Micros, said: &mut Vec<Said>, replies: &mut Vec<u8>) {
+        let before = self.seen;
+        self.advance(now, said, replies);
+        let began = self.began.filter(|_| self.seen == before).unwrap_or(now);
+        self.began = match self.state {
+            State::Head if self.input.is_empty() => None,
+            State::Head | State::Body(..) => Some(began),
+            State::Busy(_) | State::Last => None,
+        };
+        if self.input.is_empty() {
+            self.input.shrink_to(SMALL);
+        }
+    }
+
     /// Answers what can't be read, and reads nothing more: where the next request begins is not known.
     fn give_up(&mut self, what: Wrong, replies: &mut Vec<u8>) {
-        error(replies, what, "", false, None);
-        self.input.clear();
-        self.state = State::Last;
+        self.strikes += 1;
+        error(replies, what, "", false, (what == NO_ROOM).then_some(SEC));
+        (self.input, self.state) = (Vec::new(), State::Last);
     }
 
     fn request(
@@ -236,13 +262,16 @@
         said: &mut Vec<Said>,
         replies: &mut Vec<u8>,
     ) {
+        self.seen += 1;
         let keep = head.keeps_alive(&head.first[2]) && !(self.service.stopping)();
         self.state = if keep { State::Head } else { State::Last };
         let method = head.first[0].as_str();
         let Some((path, pairs)) = http::target(&head.first[1]) else {
+            self.strikes += 1;
             return error(replies, BAD_URL, "", keep, None);
         };
         let param = |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        let answer_at = replies.len();
         match (method, path) {
             ("GET" | "POST", "/") if param("query").is_none() && body.is_empty() && method == "GET" => {
                 plain(replies, keep, "Ok.\n");
@@ -264,6 +293,10 @@
             (_, "/" | "/ping") => error(replies, NO_METHOD, "", keep, None),
             _ => error(replies, NO_PAGE, "", keep, None),
         }
+        match replies.get(answer_at..answer_at + 10) {
+            Some(b"HTTP/1.1 4" | b"HTTP/1.1 5") => self.strikes += 1,
+            _ => self.useful = true,
+        }
     }
 
     fn tenant(&self, head: &Head, pairs: &[(String, String)]) -> Result<(String, TenantId), Wrong> {
@@ -369,6 +402,7 @@
         401 => "Unauthorized",
         403 => "Forbidden",
         404 => "Not Found",
+        408 => "Request Timeout",
         405 => "Method Not Allowed",
         413 => "Payload Too Large",
         431 => "Request Header Fields Too Large",
@@ -428,7 +462,7 @@
             return Ok(());
         }
         self.input.extend_from_slice(input);
-        self.advance(now, said, replies);
+        self.read_on(now, said, replies);
         let ahead = matches!(self.state, State::Busy(_)) && self.input.len() > MOST_AHEAD;
         if ahead { Err(End::Overflow) } else { Ok(()) }
     }
@@ -475,13 +509,39 @@
             Answer::Failed(why) => error(replies, failure(why), id, keep, None),
         }
         self.state = if keep { State::Head } else { State::Last };
-        self.advance(now, said, replies);
+        self.read_on(now, said, replies);
     }
 
     fn open(&self) -> usize {
         usize::from(matches!(self.state, State::Busy(_)))
     }
 
+    fn began(&self) -> Option<Micros> {
+        self.began
+    }
+
+    fn held(&self) -> usize {
+        self.input.len() + if let State::Body(_, _, text) = &self.state { text.len() } else { 0 }
+    }
+
+    fn cut_off(&mut self, why: Cut, replies: &mut Vec<u8>) {
+        self.began = None;
+        // What is ahead of its turn is dropped; the connection ends behind the answer that is owed.
+        if let State::Busy(busy) = &mut self.state {
+            (busy.keep, self.input) = (false, Vec::new());
+            return;
+        }
+        self.give_up(if why == Cut::Late { TOO_SLOW } else { NO_ROOM }, replies);
+    }
+
+    fn useful(&self) -> bool {
+        self.useful
+    }
+
+    fn strikes(&self) -> u64 {
+        self.strikes
+    }
+
     fn last(&self) -> bool {
         matches!(self.state, State::Last)
     }
@@ -491,6 +551,9 @@
 fn failure(why: Failure) -> Wrong {
     match why {
         Failure::Deadline => (500, 159, "TIMEOUT_EXCEEDED", "the time for the query was up"),
+        Failure::InUse => {
+            (500, 216, "QUERY_WITH_SAME_ID_IS_ALREADY_RUNNING", "the name of the query is in use")
+        }
         Failure::NotSent => (500, 439, "CANNOT_SCHEDULE_TASK", "the query was not sent"),
         Failure::Attempt(End::Broke) => (500, 1002, "UNKNOWN_EXCEPTION", "the engine reported an error"),
         Failure::Attempt(_) => {
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -1,5 +1,5 @@
 //! The platform's protocol for clients: JSON-RPC 2.0 over TCP, one message per line.
-use super::{Front, Said};
+use super::{Cut, Front, Said};
 use crate::clock::{MS, Micros};
 use crate::config::Names;
 use crate::interface::{ClassId, TenantId};
@@ -11,12 +11,18 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+/// When to come back to a connection that has no place for one more request.
+const FULL_AFTER: Micros = 100 * MS;
 /// A longer line ends the connection.
 const MOST_LINE: usize = 256 * 1024;
 /// Requests that may be open on a connection.
 const MOST_OPEN: usize = 32;
-/// A client can't ask to wait longer than this.
-const MOST_WAIT: f64 = 3_600_000.0;
+/// Waits and costs in milliseconds, and memory in MB, are figures of one query: beyond this they are mistakes.
+const MOST_FIGURE: f64 = 86_400_000.0;
+/// What an idle connection keeps of its buffer.
+const SMALL: usize = 4 * 1024;
+/// A longer id goes back as null.
+const MOST_ID: usize = 64;
 
 /// Refused: trying again is harmless.
 const REFUSED: i64 = -32050;
@@ -61,12 +67,34 @@
     /// Where to look on for the end of the line.
     looked: usize,
     open: BTreeSet<u64>,
+    /// Since when the line in `input` has begun.
+    began: Option<Micros>,
+    useful: bool,
+    strikes: u64,
+    /// Nothing more is read: the connection ends once what is open is answered.
+    closing: bool,
 }
 
 impl JsonRpc {
     /// A new connection.
     pub fn new(conn: u64, names: Rc<Names>, ready: Rc<dyn Fn() -> bool>) -> JsonRpc {
-        JsonRpc { conn, names, ready, input: Vec::new(), looked: 0, open: BTreeSet::new() }
+        let (input, open) = (Vec::new(), BTreeSet::new());
+        let (began, useful, strikes, closing) = (None, false, 0, false);
+        JsonRpc { conn, names, ready, input, looked: 0, open, began, useful, strikes, closing }
+    }
+
+    /// Turns a message away.
+    fn error(&mut self, replies: &mut Vec<u8>, id: &Value, code: i64, message: &str) {
+        self.strikes += 1;
+        // The time to come back goes with every refusal.
+        error(replies, id, code, message, (code == REFUSED).then_some(FULL_AFTER));
+    }
+
+    /// Turns away what is no message. Guards against noise, which has no end and no meaning: nothing more of it
+    /// is read.
+    fn no_message(&mut self, replies: &mut Vec<u8>, code: i64, message: &str) {
+        self.error(replies, &Value::Null, code, message);
+        self.closing = true;
     }
 
     fn line(&mut self, now: Micros, line: &[u8], said: &mut Vec<Said>, replies: &mut Vec<u8>) {
@@ -75,23 +103,25 @@
         }
         // Batches are not spoken; nor may an array pass for a message with its fields in order.
         if line.trim_ascii_start().starts_with(b"[") {
-            return error(replies, &Value::Null, INVALID_REQUEST, "no batches", None);
+            return self.no_message(replies, INVALID_REQUEST, "no batches");
         }
         let message: Message = match serde_json::from_slice(line) {
             Ok(message) => message,
             Err(e) => {
                 // Text that is JSON, but no message, is an invalid request.
                 let code = if e.is_data() { INVALID_REQUEST } else { PARSE_ERROR };
-                return error(replies, &Value::Null, code, "not a message", None);
+                return self.no_message(replies, code, "not a message");
             }
         };
         let id = message.id.unwrap_or(Value::Null);
+        let id = if plain(&id) { id } else { Value::Null };
         if message.jsonrpc != "2.0" {
-            return error(replies, &id, INVALID_REQUEST, "not JSON-RPC 2.0", None);
+            return self.no_message(replies, INVALID_REQUEST, "not JSON-RPC 2.0");
         }
         match message.method.as_str() {
             "status" => {
                 let green = (self.ready)();
+                self.useful = true;
                 reply(replies, &json!({"jsonrpc": "2.0", "id": id, "result": {"green": green}}));
             }
             "withdraw" => {
@@ -100,18 +130,23 @@
                     Value::Array(params) => params.first(),
                     other => Some(other),
                 };
-                match named.and_then(Value::as_u64) {
-                    Some(tag) if self.open.remove(&tag) => said.push(Said::Withdraw(tag)),
-                    Some(_) => {}
-                    None => crate::log!("withdraw names no request: {}", String::from_utf8_lossy(line)),
+                self.strikes += 1;
+                // One that was answered a moment ago is no fault, and no answer is owed.
+                if let Some(tag) = named.and_then(Value::as_u64).filter(|tag| self.open.remove(tag)) {
+                    said.push(Said::Withdraw(tag));
                 }
             }
             method => match self.ask(now, method, &id, message.params) {
                 Ok(ask) => {
                     self.open.insert(ask.origin.tag);
+                    self.useful = true;
                     said.push(Said::Ask(ask));
                 }
-                Err((code, what)) => error(replies, &id, code, what, None),
+                // Guards the answer to the first request under a number: the second one's error is not for it.
+                Err((code, what)) if id.as_u64().is_some_and(|tag| self.open.contains(&tag)) => {
+                    self.error(replies, &Value::Null, code, what);
+                }
+                Err((code, what)) => self.error(replies, &id, code, what),
             },
         }
     }
@@ -132,7 +167,12 @@
         if params.id.len() != 16 || !params.id.bytes().all(hex) {
             return Err((INVALID_PARAMS, "params.id is not 16 hex digits"));
         }
-        let wait = Some(params.wait).filter(|w| *w > 0.0).ok_or((INVALID_PARAMS, "wait is not positive"))?;
+        let figure = |value: f64| (0.0..=MOST_FIGURE).contains(&value);
+        if params.wait <= 0.0
+            || ![Some(params.wait), params.cost, params.kb].into_iter().flatten().all(figure)
+        {
+            return Err((INVALID_PARAMS, "a figure is out of range"));
+        }
         let tenant = self.names.tenants.iter().position(|t| *t == params.tenant);
         let tenant = match tenant {
             None if self.names.tenants.is_empty() => 0,
@@ -146,8 +186,8 @@
             key: params.id.into(),
             class: ClassId(class as u16),
             tenant: TenantId(tenant as u16),
-            give_up_at: now + (wait.min(MOST_WAIT) * MS as f64) as Micros,
-            cost: params.cost.filter(|c| *c > 0.0).map(|c| (c.min(MOST_WAIT) * MS as f64) as Micros),
+            give_up_at: now + (params.wait * MS as f64) as Micros,
+            cost: params.cost.filter(|c| *c > 0.0).map(|c| (c * MS as f64) as Micros),
             memory_mb: params.kb.filter(|mb| *mb > 0.0),
             repeated: matches!(&params.retry, Value::Bool(true))
                 || params.retry.as_u64().is_some_and(|n| n > 0),
@@ -157,6 +197,15 @@
     }
 }
 
+/// Whether an id may go back as it came.
+fn plain(id: &Value) -> bool {
+    match id {
+        Value::Null | Value::Number(_) => true,
+        Value::String(text) => text.len() <= MOST_ID,
+        Value::Bool(_) | Value::Array(_) | Value::Object(_) => false,
+    }
+}
+
 fn reply(replies: &mut Vec<u8>, message: &Value) {
     // Writing JSON to memory can't fail.
     let _ = serde_json::to_writer(&mut *replies, message);
@@ -179,18 +228,35 @@
         said: &mut Vec<Said>,
         replies: &mut Vec<u8>,
     ) -> Result<(), End> {
+        if self.closing {
+            return Ok(());
+        }
         self.input.extend_from_slice(input);
-        let buffer = std::mem::take(&mut self.input);
+        let mut buffer = std::mem::take(&mut self.input);
         let mut used = 0;
-        while let Some(end) = buffer[used.max(self.looked)..].iter().position(|c| *c == b'\n') {
+        while !self.closing
+            && let Some(end) = buffer[used.max(self.looked)..].iter().position(|c| *c == b'\n')
+        {
             let end = used.max(self.looked) + end;
             self.line(now, &buffer[used..end], said, replies);
             (used, self.looked) = (end + 1, 0);
         }
-        self.input = buffer;
-        self.input.drain(..used);
-        self.looked = self.input.len();
-        if self.input.len() > MOST_LINE { Err(End::Garbled) } else { Ok(()) }
+        if self.closing {
+            return Ok(());
+        }
+        buffer.drain(..used);
+        // What is left began with these bytes, or is still the same line.
+        let began = if used > 0 { None } else { self.began };
+        self.began = (!buffer.is_empty()).then(|| began.unwrap_or(now));
+        if buffer.is_empty() {
+            buffer.shrink_to(SMALL);
+        }
+        (self.looked, self.input) = (buffer.len(), buffer);
+        if self.input.len() > MOST_LINE {
+            (self.input, self.began) = (Vec::new(), None);
+            self.no_message(replies, INVALID_REQUEST, "the line is too long");
+        }
+        Ok(())
     }
 
     fn answer(&mut self, _: Micros, tag: u64, answer: Answer, _: &mut Vec<Said>, replies: &mut Vec<u8>) {
@@ -206,6 +272,9 @@
             }
             Answer::Refused(after) => error(replies, &id, REFUSED, "refused: try again later", after),
             Answer::Failed(Failure::Deadline) => error(replies, &id, DEADLINE, "failed: time is up", None),
+            Answer::Failed(Failure::InUse) => {
+                error(replies, &id, INVALID_PARAMS, "params.id is in use", None)
+            }
             Answer::Failed(Failure::NotSent) => error(replies, &id, FAILED, "failed: not sent", None),
             Answer::Failed(Failure::Attempt(end)) => {
                 error(replies, &id, FAILED, &format!("failed: {end:?}"), None);
@@ -217,8 +286,32 @@
         self.open.len()
     }
 
+    fn began(&self) -> Option<Micros> {
+        self.began
+    }
+
+    fn held(&self) -> usize {
+        self.input.len()
+    }
+
+    fn cut_off(&mut self, why: Cut, replies: &mut Vec<u8>) {
+        (self.input, self.began) = (Vec::new(), None);
+        match why {
+            Cut::Late => self.no_message(replies, PARSE_ERROR, "the message did not end in time"),
+            Cut::Room => self.no_message(replies, REFUSED, "there is no room for long messages now"),
+        }
+    }
+
+    fn useful(&self) -> bool {
+        self.useful
+    }
+
+    fn strikes(&self) -> u64 {
+        self.strikes
+    }
+
     fn last(&self) -> bool {
-        false
+        self.closing && self.open.is_empty()
     }
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,6 +14,15 @@
     Withdraw(u64),
 }
 
+/// Why a client is cut off within a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// The message takes too long.
+    Late,
+    /// All clients together have sent more than there is room for.
+    Room,
+}
+
 /// One client connection's protocol, without its socket.
 pub trait Front {
     /// Reads what came. `replies` takes what can be answered at once.
@@ -28,6 +37,16 @@
     fn answer(&mut self, now: Micros, tag: u64, answer: Answer, said: &mut Vec<Said>, replies: &mut Vec<u8>);
     /// Requests on it that wait for their answer.
     fn open(&self) -> usize;
+    /// Since when a message has begun and is not whole.
+    fn began(&self) -> Option<Micros>;
+    /// Bytes of it, and of what waits behind an open request.
+    fn held(&self) -> usize;
+    /// Says why nothing more is read; what is open is answered, and then the connection is to be closed.
+    fn cut_off(&mut self, why: Cut, replies: &mut Vec<u8>);
+    /// Whether the client has said anything that could be used.
+    fn useful(&self) -> bool;
+    /// Messages that cost and brought nothing: turned away here, or withdrawn.
+    fn strikes(&self) -> u64;
     /// Whether the connection is to be closed once all is written.
     fn last(&self) -> bool;
 }
--- a/src/kit/clients.rs
+++ b/src/kit/clients.rs
@@ -106,6 +106,13 @@
     read_line(&stream, &mut input).await.map_or(Got::Cut, |line| rpc_got(&line))
 }
 
+/// Connects, says nothing, and waits for the connection's end.
+pub async fn mute(addr: SocketAddr) {
+    let Ok(stream) = Async::<TcpStream>::connect(addr).await else { return };
+    let mut buffer = [0; 256];
+    while matches!((&stream).read(&mut buffer).await, Ok(n) if n > 0) {}
+}
+
 /// Whether the daemon says that it is ready.
 pub async fn green(addr: SocketAddr) -> bool {
     let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return false };
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -38,9 +38,9 @@
 }
 
 /// The whole configuration.
-pub fn config(listen: SocketAddr, coordinator: SocketAddr, known: &Value) -> Value {
+pub fn config(listen: SocketAddr, coordinator: SocketAddr, known: &Value, sockets: usize) -> Value {
     json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
         "coordinator": coordinator.to_string(), "known": known, "settings": settings()})
 }
 
@@ -93,10 +93,11 @@
         coordinator: SocketAddr,
         known: &Value,
         deploy: Option<&str>,
+        sockets: usize,
     ) -> Result<Daemon, String> {
         let folder = Folder::new().map_err(|e| e.to_string())?;
         let listen = free_addr();
-        let text = config(listen, coordinator, known).to_string();
+        let text = config(listen, coordinator, known, sockets).to_string();
         let path = folder.put("config.json", &text).map_err(|e| e.to_string())?;
         let mut command = Command::new(program);
         command.env("PROXY_CONFIG", path).env("PROXY_NAME", "n0").env("PROXY_LISTEN", listen.to_string());
@@ -128,7 +129,7 @@
 
     /// Writes a new configuration that names another coordinator, or one that can't be used, and says so.
     pub fn reload(&self, coordinator: Option<SocketAddr>) -> Result<(), String> {
-        let good = |at| config(self.listen, at, &self.known).to_string();
+        let good = |at| config(self.listen, at, &self.known, 1_024).to_string();
         let text = coordinator.map_or("{".to_owned(), good);
         self.folder.put("config.json", &text).map_err(|e| e.to_string())?;
         self.signal(rustix::process::Signal::HUP);
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -5,11 +5,14 @@
 //! | `engine NAME platform\|clickhouse` | an engine; before `start` |
 //! | `user NAME KEY TENANT` | a user of the deploy file; before `start` |
 //! | `tenant NAME SHARE`, `person NAME KEY TENANT` | entries of a directory; a tenant of `-` is none |
+//! | `sockets COUNT` | the descriptors that the daemon may hold; before `start` |
 //! | `start` | starts the daemon and waits until it is ready |
 //! | `on ENGINE rows MS COUNT\|full\|break\|hang\|reset\|late\|garble` | what the engine does with its next query |
 //! | `ask NAME rpc CLASS TENANT WAIT-MS STATEMENT` | a query over JSON-RPC |
 //! | `ask NAME http USER KEY SECONDS STATEMENT` | a query over HTTP |
 //! | `raw NAME rpc\|http TEXT` | bytes as they are, with `\r`, `\n` and `\0`; `ends` or a status is its end |
+//! | `mute NAME rpc\|http COUNT` | so many clients connect and say nothing |
+//! | `shut NAME` | waits until the daemon has closed all of them |
 //! | `seen NAME` | waits until an engine runs the query |
 //! | `over NAME` | waits until no engine runs it |
 //! | `expect NAME served\|refused\|failed\|deadline\|rejected CODE\|cut` | waits for its end and compares |
@@ -59,6 +62,8 @@
     engines: BTreeMap<String, (Engine, u32)>,
     users: String,
     daemon: Option<Daemon>,
+    sockets: usize,
+    mute: BTreeMap<String, Vec<Task<()>>>,
     http: SocketAddr,
     queries: BTreeMap<String, Query>,
     said: &'a mut dyn FnMut(&str),
@@ -76,6 +81,8 @@
         engines: BTreeMap::new(),
         users: String::new(),
         daemon: None,
+        sockets: 1_024,
+        mute: BTreeMap::new(),
         http: free_addr(),
         queries: BTreeMap::new(),
         executor: executor.clone(),
@@ -164,7 +171,8 @@
                 let deploy = self.deploy();
                 let second = !self.users.is_empty() || self.directory.is_some();
                 let deploy = Some(deploy.as_str()).filter(|_| second);
-                let daemon = Daemon::start(self.program, self.coordinator.addr, &known, deploy).await?;
+                let at = self.coordinator.addr;
+                let daemon = Daemon::start(self.program, at, &known, deploy, self.sockets).await?;
                 self.daemon = Some(daemon);
             }
             ["on", name, ref act @ ..] => {
@@ -181,6 +189,18 @@
                 });
             }
             ["ask", name, ..] => self.ask(name, &words[2..])?,
+            ["sockets", count] => self.sockets = number(count)? as usize,
+            ["mute", name, front, count] => {
+                let listen = self.daemon.as_ref().ok_or("not started")?.listen;
+                let addr = if front == "http" { self.http } else { listen };
+                let one = |_| self.executor.spawn(clients::mute(addr));
+                self.mute.insert(name.to_owned(), (0..number(count)?).map(one).collect());
+            }
+            ["shut", name] => {
+                for client in self.mute.remove(name).ok_or("no such clients")? {
+                    client.await;
+                }
+            }
             ["seen", name] => {
                 let book = self.book.clone();
                 let seen = || book.of(name).iter().any(|r| r.end.is_none());
--- a/src/main.rs
+++ b/src/main.rs
@@ -93,7 +93,8 @@
     let (last, known) = list::parse_known(&config.known, &names)?;
 
     let tenants = Tenants::new(&names, config.settings.tenants.clone());
-    let manager = Manager::new(clock::turn(), config.settings, config.seed);
+    let mut manager = Manager::new(clock::turn(), config.settings, config.seed);
+    manager.hold_at_most(shared.most_unread_bytes.get());
     let (core, mailbox) = bounded(core::MAILBOX);
     let (updates, list_mailbox) = bounded(list::MAILBOX);
     let make = list::engines(shared.clone(), core.clone(), names.clone(), http.clone());
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -13,7 +13,7 @@
 use counters::Counters;
 use ends::{End, Reach, never_ran, outcome};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
 
 /// Which connection of which front a request came from, and the front's own mark for it there.
@@ -68,6 +68,8 @@
     Attempt(End),
     /// It was never sent.
     NotSent,
+    /// Its name is that of another request.
+    InUse,
 }
 
 /// A final answer.
@@ -160,6 +162,11 @@
 /// How long after a client's deadline the core waits for the module's answer before it gives its own.
 const GUARD: Micros = 25_000;
 
+/// When to come back if there is no room for a statement.
+const NO_ROOM_AFTER: Micros = 500_000;
+/// Names of requests that are over are remembered so far: a name must not come again while words about it may.
+const MOST_PAST_KEYS: usize = 4_096;
+
 /// The core.
 pub struct Manager {
     module: Gateway,
@@ -170,6 +177,12 @@
     origins: BTreeMap<Origin, RequestId>,
     deadlines: BTreeSet<(Micros, RequestId)>,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    /// Names of requests that are open, or were a while ago.
+    keys: BTreeSet<Rc<str>>,
+    past_keys: VecDeque<Rc<str>>,
+    /// Bytes of open statements, and how many are too many.
+    statements: usize,
+    most_statements: usize,
     next_id: u32,
     acts: Vec<Action>,
     /// What happened so far.
@@ -188,12 +201,21 @@
             origins: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             timers: BinaryHeap::new(),
+            keys: BTreeSet::new(),
+            past_keys: VecDeque::new(),
+            statements: 0,
+            most_statements: usize::MAX,
             next_id: 0,
             acts: Vec::new(),
             counters: Counters::default(),
         }
     }
 
+    /// So many bytes of open statements are held at most.
+    pub fn hold_at_most(&mut self, bytes: usize) {
+        self.most_statements = bytes;
+    }
+
     /// When the core wants its next turn by itself.
     pub fn next_due(&self) -> Option<Micros> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
@@ -232,6 +254,19 @@
             self.counters.failed += 1;
             return orders.push(Order::Answer(ask.origin, Answer::Failed(Failure::NotSent)));
         }
+        // Guards the rules on attempts and answers: engines and clients tell requests apart by their names, and
+        // a second one under the name of the first would pass for its further attempt, or take its answer.
+        if self.keys.contains(&ask.key) {
+            self.counters.failed += 1;
+            return orders.push(Order::Answer(ask.origin, Answer::Failed(Failure::InUse)));
+        }
+        // Guards the limit on memory: as the module sees none of it, it is refused here.
+        if self.statements + ask.statement.len() > self.most_statements {
+            self.counters.refused += 1;
+            return orders.push(Order::Answer(ask.origin, Answer::Refused(Some(NO_ROOM_AFTER))));
+        }
+        self.keys.insert(ask.key.clone());
+        self.statements += ask.statement.len();
         self.next_id = self.next_id.wrapping_add(1);
         let id = RequestId(self.next_id);
         let event = Event::Request(NewRequest {
@@ -486,8 +521,14 @@
 
     /// Drops a request that is over and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|open| open.closed && open.out.is_none()) {
-            self.open.remove(&id);
+        if !self.open.get(&id).is_some_and(|open| open.closed && open.out.is_none()) {
+            return;
+        }
+        let Some(open) = self.open.remove(&id) else { return };
+        self.statements -= open.ask.statement.len();
+        self.past_keys.push_back(open.ask.key);
+        if self.past_keys.len() > MOST_PAST_KEYS {
+            self.past_keys.pop_front().map(|key| self.keys.remove(&key));
         }
     }
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,18 +1,18 @@
 //! The listener of a front and the actor of each client connection.
 use super::core::Input;
-use super::{Held, Shared, until};
-use crate::clock::{self, Micros, SEC};
-use crate::front::{Front, Said};
+use super::{Bytes, Held, Shared, until};
+use crate::clock::{self, MS, Micros, SEC};
+use crate::front::{Cut, Front, Said};
 use crate::log;
-use crate::manager::Origin;
 use crate::manager::ends::End;
-use async_channel::{Sender, bounded};
+use crate::manager::{Answer, Origin};
+use async_channel::{Receiver, Sender, bounded};
 use async_io::{Async, Timer};
-use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use futures_lite::future::{or, yield_now};
+use futures_lite::{AsyncWriteExt, StreamExt};
 use std::cell::Cell;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,9 +20,46 @@
 const MAILBOX: usize = 64;
 /// With so many bytes unwritten, nothing more is read from the client.
 const MOST_UNWRITTEN: usize = 256 * 1024;
-/// A client with nothing open is cut off when silent for so long, and one that does not read its answers.
-const IDLE: Micros = 60 * SEC;
+/// What an idle connection keeps of its buffers.
+const SMALL: usize = 4 * 1024;
+/// A client with nothing open is cut off when silent for so long: usual ones close their side after 4 s.
+const IDLE: Micros = 10 * SEC;
+/// A client owes its first usable message, and the rest of one that it began, within this time. Guards against
+/// hundreds that connect and say nothing, or half of something, and keep others out.
+const OWED: Micros = 2_500 * MS;
+/// However many come, one that just came or was just answered has this long to ask.
+const GRACE: Micros = 100 * MS;
+/// One that does not read its answers is cut off after this time.
 const WRITE_STALL: Micros = 10 * SEC;
+/// At its end a connection takes so long at most to write what is left, and so long and so many bytes to take in
+/// what the client still sends.
+const LAST_WORDS: Micros = SEC;
+const DRAIN: Micros = 300 * MS;
+const DRAIN_BYTES: usize = 1 << 20;
+/// A client that is turned away again and again is read from more slowly: so many times at once are free, and
+/// each one more costs this pause. Guards the others' share of the processor.
+const FREE_STRIKES: u64 = 64;
+const STRIKE: Micros = 20 * MS;
+
+/// What the listeners know of a connection: whether it may be shed when there are too many.
+pub struct Standing {
+    /// It has said something usable.
+    useful: Cell<bool>,
+    /// Nothing is open on it and nothing is to be written, since then.
+    idle_since: Cell<Option<Micros>>,
+    /// Closed to shed it.
+    shed: Sender<()>,
+}
+
+/// Sheds the connection that is missed least: one that never said anything usable, and among those, or else among
+/// all with nothing open, the one idle for longest. Guards the usual clients against being kept out.
+fn shed(shared: &Shared) -> bool {
+    let clients = shared.clients.borrow();
+    let idle = |s: &&Rc<Standing>| s.idle_since.get().is_some() && !s.shed.is_closed();
+    let least = clients.values().filter(idle).min_by_key(|s| (s.useful.get(), s.idle_since.get()));
+    let stays = clock::turn().saturating_sub(GRACE);
+    least.filter(|s| s.idle_since.get().is_some_and(|since| since <= stays)).is_some_and(|s| s.shed.close())
+}
 
 /// Accepts connections; `front` makes the protocol of each.
 pub async fn listen<F: Front + 'static>(
@@ -39,151 +76,245 @@
                 shared.next_conn.set(conn + 1);
                 let (all, core) = (shared.clone(), core.clone());
                 let front = front(conn);
-                shared.spawn(async move { actor(all, core, stream, conn, front).await });
-                // Guards the limit on sockets: further clients wait in the listener's line.
-                while shared.client_sockets.get() >= shared.most_client_sockets.get() {
-                    Timer::after(Duration::from_millis(10)).await;
-                }
+                let socket = Held::new(&shared.client_sockets);
+                shared.spawn(async move {
+                    actor(&all, core, stream, conn, front).await;
+                    drop(socket);
+                });
             }
             Err(e) => {
                 log!("accepting a client: {e}");
                 Timer::after(Duration::from_millis(10)).await;
             }
         }
+        // Guards the limit on sockets: connections that wait in the listener's line come without a pause.
+        yield_now().await;
+        while shared.client_sockets.get() >= shared.most_client_sockets.get() {
+            if !shed(&shared) {
+                Timer::after(Duration::from_millis(10)).await;
+            }
+            yield_now().await;
+        }
     }
 }
 
 enum Turn {
-    Answer(Option<(u64, crate::manager::Answer)>),
+    Answer(Option<(u64, Answer)>),
+    Shed,
     Read(io::Result<usize>),
     Wrote(io::Result<usize>),
     Due,
 }
 
-async fn actor(
-    shared: Rc<Shared>,
-    core: Sender<Input>,
-    stream: Async<TcpStream>,
-    conn: u64,
-    front: impl Front,
-) {
-    let Some(_held) = Held::new(&shared.client_sockets, usize::MAX) else { return };
+async fn actor(shared: &Shared, core: Sender<Input>, stream: Async<TcpStream>, conn: u64, front: impl Front) {
     let (answers, mailbox) = bounded(MAILBOX);
+    let (shed, shedding) = bounded(1);
+    let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
+    let standing = Rc::new(Standing { useful, idle_since, shed });
+    shared.clients.borrow_mut().insert(conn, standing.clone());
     let _ = core.send(Input::Opened(conn, answers)).await;
-    let end = serve(&shared, &core, &stream, conn, front, mailbox).await;
-    if !matches!(end, End::Closed | End::Idle | End::Done) {
+    let (held, unread) = (Bytes::new(&shared.unwritten_bytes), Bytes::new(&shared.unread_bytes));
+    let (unwritten, said) = (Vec::new(), Vec::new());
+    let peer =
+        Peer { shared, core: &core, stream: &stream, conn, front, unwritten, written: 0, held, unread, said };
+    let end = peer.serve(&standing, &mailbox, &shedding).await;
+    shared.clients.borrow_mut().remove(&conn);
+    if !matches!(end, End::Closed | End::Idle | End::Done | End::Overflow) {
         log!("a client's connection ended: {end:?}");
     }
     let _ = core.send(Input::HungUp(conn)).await;
 }
 
-/// The part of one connection in a count over all.
-struct Bytes<'a> {
-    all: &'a Cell<usize>,
-    mine: usize,
-}
-
-impl Bytes<'_> {
-    fn set(&mut self, mine: usize) {
-        self.all.set(self.all.get() - self.mine + mine);
-        self.mine = mine;
-    }
+struct Peer<'a, F> {
+    shared: &'a Shared,
+    core: &'a Sender<Input>,
+    stream: &'a Async<TcpStream>,
+    conn: u64,
+    front: F,
+    unwritten: Vec<u8>,
+    written: usize,
+    /// Guards the limit on memory against many clients that do not read: all together are counted.
+    held: Bytes<'a>,
+    /// The same against many that send long messages.
+    unread: Bytes<'a>,
+    said: Vec<Said>,
 }
 
-impl Drop for Bytes<'_> {
-    fn drop(&mut self) {
-        self.set(0);
+impl<F: Front> Peer<'_, F> {
+    /// Waiting for room in the module's mailbox holds back this client alone.
+    async fn pass_on(&mut self) {
+        for said in std::mem::take(&mut self.said) {
+            let input = match said {
+                Said::Ask(ask) => Input::Ask(ask),
+                Said::Withdraw(tag) => Input::Withdraw(Origin { conn: self.conn, tag }),
+            };
+            let _ = self.core.send(input).await;
+        }
     }
-}
 
-/// Waiting for room in the module's mailbox holds back this client alone.
-async fn pass_on(core: &Sender<Input>, conn: u64, said: &mut Vec<Said>) {
-    for said in said.drain(..) {
-        let input = match said {
-            Said::Ask(ask) => Input::Ask(ask),
-            Said::Withdraw(tag) => Input::Withdraw(Origin { conn, tag }),
-        };
-        let _ = core.send(input).await;
+    /// Reads into the buffer that all share, so that an idle connection costs none.
+    async fn read(&self) -> io::Result<usize> {
+        self.stream
+            .read_with(|stream| io::Read::read(&mut &*stream, &mut self.shared.buffer.borrow_mut()))
+            .await
     }
-}
 
-async fn serve(
-    shared: &Shared,
-    core: &Sender<Input>,
-    stream: &Async<TcpStream>,
-    conn: u64,
-    mut front: impl Front,
-    mailbox: async_channel::Receiver<(u64, crate::manager::Answer)>,
-) -> End {
-    let _ = stream.get_ref().set_nodelay(true);
-    let (mut buffer, mut unwritten, mut written) = (vec![0; 16 * 1024], Vec::new(), 0);
-    let (mut said, mut active_at) = (Vec::new(), clock::turn());
-    // Guards the limit on memory against many clients that do not read: all together are counted.
-    let mut busy = None;
-    let mut held = Bytes { all: &shared.unwritten_bytes, mine: 0 };
-    loop {
-        let writing = written < unwritten.len();
-        if !writing && front.last() {
-            return End::Done;
-        }
-        // The program does not end while this one has something to write.
-        busy = if writing { busy.or_else(|| Held::new(&shared.unwritten, usize::MAX)) } else { None };
-        let waits = unwritten.len() - written;
-        held.set(waits);
-        let full = waits > MOST_UNWRITTEN || shared.unwritten_bytes.get() > shared.most_unwritten_bytes.get();
-        let due = match (writing, front.open()) {
-            (true, _) => Some(active_at + WRITE_STALL),
-            (false, 0) => Some(active_at + IDLE),
-            (false, _) => None,
-        };
-        let (mut reader, mut writer) = (stream, stream);
-        let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
-        let write = async {
-            match writing {
-                true => Turn::Wrote(writer.write(&unwritten[written..]).await),
-                false => std::future::pending().await,
-            }
-        };
-        let read = async {
-            match full {
-                true => std::future::pending().await,
-                false => Turn::Read(reader.read(&mut buffer).await),
+    async fn serve(
+        mut self,
+        standing: &Standing,
+        mailbox: &Receiver<(u64, Answer)>,
+        shedding: &Receiver<()>,
+    ) -> End {
+        let _ = self.stream.get_ref().set_nodelay(true);
+        let came_at = clock::turn();
+        let (mut active_at, mut strikes) = (came_at, Strikes::default());
+        let mut busy = None;
+        loop {
+            let writing = self.written < self.unwritten.len();
+            if !writing && self.front.last() {
+                return self.farewell(End::Done).await;
             }
-        };
-        let timer = async {
-            until(due).await;
-            Turn::Due
-        };
-        let turn = or(answer, or(write, or(read, timer))).await;
-        let now = clock::turn();
-        match turn {
-            Turn::Answer(Some((tag, answer))) => {
-                active_at = if writing { active_at } else { now };
-                busy = busy.or_else(|| Held::new(&shared.unwritten, usize::MAX));
-                front.answer(now, tag, answer, &mut said, &mut unwritten);
-                pass_on(core, conn, &mut said).await;
-            }
-            Turn::Answer(None) => return End::Overflow,
-            Turn::Wrote(Ok(n)) => {
-                written += n;
-                active_at = now;
-                if written == unwritten.len() {
-                    unwritten.clear();
-                    unwritten.shrink_to(64 * 1024);
-                    written = 0;
+            // The program does not end while this one has something to write.
+            busy = if writing { busy.or_else(|| Some(Held::new(&self.shared.unwritten))) } else { None };
+            let waits = self.unwritten.len() - self.written;
+            self.held.set(waits);
+            let full = waits > MOST_UNWRITTEN
+                || self.shared.unwritten_bytes.get() > self.shared.most_unwritten_bytes.get();
+            let idle = !writing && self.front.open() == 0;
+            let useful = self.front.useful();
+            standing.useful.set(useful);
+            standing.idle_since.set(idle.then_some(active_at));
+            let owed = self.front.began().into_iter().chain((!useful).then_some(came_at)).min();
+            let owed = owed.map(|since| since + OWED);
+            let silent = match (writing, idle) {
+                (true, _) => Some(active_at + WRITE_STALL),
+                (false, true) => Some(active_at + IDLE),
+                (false, false) => None,
+            };
+            let paused = strikes.pause(clock::now());
+            let due = silent.into_iter().chain(owed).chain(paused).min();
+            let mut writer = self.stream;
+            let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
+            // One that has something open by now stays.
+            let shed = async {
+                match idle {
+                    true => drop(shedding.recv().await),
+                    false => std::future::pending().await,
                 }
-            }
-            Turn::Read(Ok(0)) => return End::Closed,
-            Turn::Read(Ok(n)) => {
-                active_at = if writing { active_at } else { now };
-                if let Err(end) = front.feed(now, &buffer[..n], &mut said, &mut unwritten) {
-                    return end;
+                Turn::Shed
+            };
+            let write = async {
+                match writing {
+                    true => Turn::Wrote(writer.write(&self.unwritten[self.written..]).await),
+                    false => std::future::pending().await,
+                }
+            };
+            let read = async {
+                match full || paused.is_some() {
+                    true => std::future::pending().await,
+                    false => Turn::Read(self.read().await),
                 }
-                pass_on(core, conn, &mut said).await;
+            };
+            let timer = async {
+                until(due).await;
+                Turn::Due
+            };
+            let turn = or(answer, or(shed, or(write, or(read, timer)))).await;
+            let now = clock::turn();
+            let by = |at: Option<Micros>| at.is_some_and(|at| at <= now);
+            match turn {
+                Turn::Answer(Some((tag, answer))) => {
+                    active_at = if writing { active_at } else { now };
+                    busy = busy.or_else(|| Some(Held::new(&self.shared.unwritten)));
+                    strikes.add(now, u64::from(matches!(answer, Answer::Refused(_))));
+                    self.front.answer(now, tag, answer, &mut self.said, &mut self.unwritten);
+                    self.pass_on().await;
+                }
+                Turn::Answer(None) | Turn::Shed => return End::Overflow,
+                Turn::Wrote(Ok(n)) => {
+                    self.written += n;
+                    active_at = now;
+                    if self.written == self.unwritten.len() {
+                        self.unwritten.clear();
+                        self.unwritten.shrink_to(SMALL);
+                        self.written = 0;
+                    }
+                }
+                Turn::Read(Ok(0)) => return End::Closed,
+                Turn::Read(Ok(n)) => {
+                    active_at = if writing { active_at } else { now };
+                    let before = self.front.strikes();
+                    let fed = {
+                        let buffer = self.shared.buffer.borrow();
+                        self.front.feed(now, &buffer[..n], &mut self.said, &mut self.unwritten)
+                    };
+                    strikes.add(now, self.front.strikes() - before);
+                    self.unread.set(self.front.held());
+                    self.pass_on().await;
+                    if let Err(end) = fed {
+                        return self.farewell(end).await;
+                    }
+                    let crowded = self.shared.unread_bytes.get() > self.shared.most_unread_bytes.get();
+                    if crowded && self.front.held() > SMALL {
+                        self.front.cut_off(Cut::Room, &mut self.unwritten);
+                    }
+                    // Guards the other connections: one that sends without a pause can always be read.
+                    yield_now().await;
+                }
+                Turn::Read(Err(_)) | Turn::Wrote(Err(_)) => return End::Reset,
+                Turn::Due if writing && by(silent) => return End::Silent,
+                // What is open on it is answered all the same.
+                Turn::Due if by(owed) && self.front.began().is_some() => {
+                    self.front.cut_off(Cut::Late, &mut self.unwritten);
+                }
+                Turn::Due if by(owed) || by(silent) => return End::Idle,
+                Turn::Due => {}
             }
-            Turn::Read(Err(_)) | Turn::Wrote(Err(_)) => return End::Reset,
-            Turn::Due if writing => return End::Silent,
-            Turn::Due => return End::Idle,
         }
     }
+
+    /// Writes what is left, ends this side, and takes in a little of what the peer still sends. Guards the last
+    /// answer or error: a close with unread input resets the connection, and the peer loses both.
+    async fn farewell(mut self, end: End) -> End {
+        let _busy = Held::new(&self.shared.unwritten);
+        let now = clock::turn();
+        let mut writer = self.stream;
+        let rest = async { writer.write_all(&self.unwritten[self.written..]).await.is_ok() };
+        let late = async {
+            until(Some(now + LAST_WORDS)).await;
+            false
+        };
+        if !or(rest, late).await || self.stream.get_ref().shutdown(Shutdown::Write).is_err() {
+            return end;
+        }
+        self.unwritten = Vec::new();
+        let drain = async {
+            let mut taken = 0;
+            while taken < DRAIN_BYTES {
+                match self.read().await {
+                    Ok(n) if n > 0 => taken += n,
+                    _ => break,
+                }
+                yield_now().await;
+            }
+        };
+        or(drain, until(Some(clock::turn() + DRAIN))).await;
+        end
+    }
+}
+
+/// How often a client was turned away of late, as the time by which it will all be made up for.
+#[derive(Default)]
+struct Strikes(Micros);
+
+impl Strikes {
+    fn add(&mut self, now: Micros, count: u64) {
+        self.0 = self.0.max(now) + count * STRIKE;
+    }
+
+    /// Until when nothing more is read, if so.
+    fn pause(&self, now: Micros) -> Option<Micros> {
+        let until = self.0.saturating_sub(FREE_STRIKES * STRIKE);
+        (until > now).then_some(until)
+    }
 }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -205,7 +205,7 @@
 
 impl<W: Wire> Connection<W> {
     async fn run(mut self, shared: &Shared) {
-        let socket = Held::new(&shared.engine_sockets, shared.most_engine_sockets.get());
+        let socket = Held::up_to(&shared.engine_sockets, shared.most_engine_sockets.get());
         let end = match socket {
             Some(_) => self.serve().await,
             None => End::Overflow,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,10 +11,14 @@
 use crate::clock::{self, Micros};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
 
+/// Bytes read from a socket at a time.
+const BUFFER: usize = 16 * 1024;
+
 /// What all actors of one program share.
 pub struct Shared {
     /// Runs the actors.
@@ -24,19 +28,27 @@
     /// Asked to end.
     pub stopping: Cell<bool>,
     /// Connections to engines, and how many there may be.
-    pub engine_sockets: Cell<usize>,
+    pub engine_sockets: Rc<Cell<usize>>,
     /// How many there may be.
     pub most_engine_sockets: Cell<usize>,
     /// Connections of clients.
-    pub client_sockets: Cell<usize>,
+    pub client_sockets: Rc<Cell<usize>>,
     /// How many there may be.
     pub most_client_sockets: Cell<usize>,
     /// Client connections that still have answers to write.
-    pub unwritten: Cell<usize>,
+    pub unwritten: Rc<Cell<usize>>,
     /// Bytes that clients have not taken yet, over all connections, and how many stop the reading of requests.
     pub unwritten_bytes: Cell<usize>,
     /// That many.
     pub most_unwritten_bytes: Cell<usize>,
+    /// Bytes of messages that are not whole yet, over all connections, and how many are too many.
+    pub unread_bytes: Cell<usize>,
+    /// That many.
+    pub most_unread_bytes: Cell<usize>,
+    /// The connections of clients, for when there are too many.
+    pub clients: RefCell<BTreeMap<u64, Rc<client::Standing>>>,
+    /// What was just read from a socket: used at once, before any other actor's turn.
+    pub buffer: RefCell<Vec<u8>>,
     /// The next number of a client connection.
     pub next_conn: Cell<u64>,
     /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
@@ -45,19 +57,23 @@
 
 impl Shared {
     /// For a program that may hold so many descriptors, half for clients and a quarter for engines, and so much
-    /// memory, a sixth for answers that wait for their clients.
+    /// memory, an eighth for answers that wait for their clients and one for messages that are not whole.
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Shared> {
         let shared = Rc::new(Shared {
             executor: Rc::new(LocalExecutor::new()),
             ready: Cell::new(false),
             stopping: Cell::new(false),
-            engine_sockets: Cell::new(0),
+            engine_sockets: Rc::default(),
             most_engine_sockets: Cell::new(0),
-            client_sockets: Cell::new(0),
+            client_sockets: Rc::default(),
             most_client_sockets: Cell::new(0),
-            unwritten: Cell::new(0),
+            unwritten: Rc::default(),
             unwritten_bytes: Cell::new(0),
             most_unwritten_bytes: Cell::new(0),
+            unread_bytes: Cell::new(0),
+            most_unread_bytes: Cell::new(0),
+            clients: RefCell::default(),
+            buffer: RefCell::new(vec![0; BUFFER]),
             next_conn: Cell::new(1),
             databases: Cell::new(false),
         });
@@ -69,7 +85,9 @@
     pub fn limit(&self, sockets: usize, memory_mb: u64) {
         self.most_engine_sockets.set((sockets / 4).max(4));
         self.most_client_sockets.set((sockets / 2).max(4));
-        self.most_unwritten_bytes.set(((memory_mb.clamp(6, 1 << 20) / 6) as usize) << 20);
+        let part = ((memory_mb.clamp(8, 1 << 20) / 8) as usize) << 20;
+        self.most_unwritten_bytes.set(part);
+        self.most_unread_bytes.set(part);
     }
 
     /// Starts an actor.
@@ -87,20 +105,48 @@
 }
 
 /// Counts one more while it lives.
-pub struct Held<'a>(&'a Cell<usize>);
+pub struct Held(Rc<Cell<usize>>);
+
+impl Held {
+    /// One more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Held {
+        count.set(count.get() + 1);
+        Held(Rc::clone(count))
+    }
 
-impl<'a> Held<'a> {
     /// One more, if that is not too many.
-    pub fn new(count: &'a Cell<usize>, most: usize) -> Option<Held<'a>> {
-        (count.get() < most).then(|| {
-            count.set(count.get() + 1);
-            Held(count)
-        })
+    pub fn up_to(count: &Rc<Cell<usize>>, most: usize) -> Option<Held> {
+        (count.get() < most).then(|| Held::new(count))
     }
 }
 
-impl Drop for Held<'_> {
+impl Drop for Held {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
 }
+
+/// The part of one connection in a count over all.
+pub struct Bytes<'a> {
+    all: &'a Cell<usize>,
+    mine: usize,
+}
+
+impl<'a> Bytes<'a> {
+    /// None yet.
+    pub fn new(all: &'a Cell<usize>) -> Bytes<'a> {
+        Bytes { all, mine: 0 }
+    }
+
+    /// So many now.
+    pub fn set(&mut self, mine: usize) {
+        self.all.set(self.all.get() - self.mine + mine);
+        self.mine = mine;
+    }
+}
+
+impl Drop for Bytes<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
