Take engines' answers by the letter, drop what nobody asked for, end what stops short

At fault: platform.rs took a length that is no number for no body, any body for rows, and a second DONE or MORE for a fault of the connection; Link matched any word of load to the oldest probe; a message that stopped short kept its connection, and all on it, until their deadlines. The same on the ClickHouse wire: no look at whose answer it is, none at the time between pieces. Ruled out: answers for an earlier attempt (those go to another connection).

--- a/src/engine/clickhouse.rs
+++ b/src/engine/clickhouse.rs
@@ -9,6 +9,10 @@
 
 /// An answer longer than this is not gathered.
 const MOST_ROWS: usize = 256 * 1024;
+/// Between two pieces of one answer no more time than this passes: it is written once the query has ended.
+const GAP: Micros = 2 * SEC;
+/// The field that tells whose answer it is.
+const QUERY_ID: &str = "x-clickhouse-query-id";
 /// The code of an engine that has too many queries: it has not looked at this one.
 const TOO_MANY_QUERIES: u32 = 202;
 /// An exception's text in a body begins so.
@@ -24,8 +28,9 @@
 }
 
 enum Asked {
-    Query(RequestId),
-    Ping,
+    /// With the name that it goes by there.
+    Query(RequestId, Rc<str>),
+    Ping(u64),
     /// Given up: what comes is for nobody.
     Nobody,
 }
@@ -38,13 +43,15 @@
     answer: Option<(Head, Body)>,
     rows: Vec<u8>,
     reusable: bool,
+    /// When the last bytes of an answer came that is not whole.
+    heard_at: Option<Micros>,
 }
 
 impl ClickHouse {
     /// A new connection.
     pub fn new(login: Rc<Login>) -> ClickHouse {
         let (input, rows) = (Vec::new(), Vec::new());
-        ClickHouse { login, asked: None, input, answer: None, rows, reusable: true }
+        ClickHouse { login, asked: None, input, answer: None, rows, reusable: true, heard_at: None }
     }
 
     fn headers(&self) -> String {
@@ -59,6 +66,7 @@
     /// An answer is whole: what does it say?
     fn whole(&mut self, said: &mut Vec<Said>) {
         let Some((head, _)) = self.answer.take() else { return };
+        self.heard_at = None;
         let rows = std::mem::take(&mut self.rows);
         self.reusable &= head.keeps_alive(&head.first[0]);
         let code = head.field("x-clickhouse-exception-code").and_then(|c| c.parse().ok());
@@ -69,26 +77,35 @@
         let code = code.or_else(|| if head.first[1] == "200" { late() } else { code_in(&rows) });
         let load = LoadReport::default();
         match (self.asked.take(), head.first[1].as_str(), code) {
-            (Some(Asked::Query(id)), "200", None) => said.push(Said::Ended(id, End::Done, rows, load)),
+            (Some(Asked::Query(id, _)), "200", None) if same_columns(&rows) => {
+                said.push(Said::Ended(id, End::Done, rows, load))
+            }
             // Its own word that it took nothing on. Any other error may come after the query began.
-            (Some(Asked::Query(id)), "503", Some(TOO_MANY_QUERIES)) => {
+            (Some(Asked::Query(id, _)), "503", Some(TOO_MANY_QUERIES)) => {
                 said.push(Said::Ended(id, End::Full, Vec::new(), load));
             }
-            (Some(Asked::Query(id)), _, _) => said.push(Said::Ended(id, End::Broke, Vec::new(), load)),
-            (Some(Asked::Ping), "200", _) => said.push(Said::Probed(OutcomeKind::Ok, load)),
-            (Some(Asked::Ping), _, _) => said.push(Said::Probed(OutcomeKind::Error, load)),
+            (Some(Asked::Query(id, _)), _, _) => said.push(Said::Ended(id, End::Broke, Vec::new(), load)),
+            (Some(Asked::Ping(n)), "200", _) => said.push(Said::Probed(n, OutcomeKind::Ok, load)),
+            (Some(Asked::Ping(n)), _, _) => said.push(Said::Probed(n, OutcomeKind::Error, load)),
             (Some(Asked::Nobody) | None, _, _) => {}
         }
     }
 
     fn end(&mut self, end: End, said: &mut Vec<Said>) {
         self.reusable = false;
-        if let Some(Asked::Query(id)) = self.asked.take() {
+        if let Some(Asked::Query(id, _)) = self.asked.take() {
             said.push(Said::Ended(id, end, Vec::new(), LoadReport::default()));
         }
     }
 }
 
+/// Whether rows are whole and have the same columns. Guards against passing noise on as an answer.
+fn same_columns(rows: &[u8]) -> bool {
+    let columns = |row: &[u8]| row.iter().filter(|c| **c == b'\t').count();
+    let lines = rows.strip_suffix(b"\n").map(|all| all.split(|c| *c == b'\n').map(columns));
+    rows.is_empty() || lines.is_some_and(|mut lines| lines.next().is_none_or(|n| lines.all(|m| m == n)))
+}
+
 fn contains(text: &[u8], part: &[u8]) -> bool {
     text.windows(part.len()).any(|w| w == part)
 }
@@ -108,6 +125,7 @@
         let seconds = job.until.saturating_sub(now).max(MS) as f64 / SEC as f64;
         let session = job.session.as_deref();
         let id = session.and_then(|s| s.query_id.as_deref()).unwrap_or(&job.key);
+        self.asked = Some(Asked::Query(job.id, id.into()));
         let id = http::escape(id);
         let mut path = format!("/?query_id={id}&max_execution_time={seconds:.3}&default_format=TabSeparated");
         // So an error shows in the status where it can, and a closed connection ends a query that only reads.
@@ -118,7 +136,6 @@
         if job.memory_mb > 0.0 {
             path += &format!("&max_memory_usage={}", (job.memory_mb.ceil() as u64).saturating_mul(1 << 20));
         }
-        self.asked = Some(Asked::Query(job.id));
         let (headers, length) = (self.headers(), job.statement.len());
         let head = format!("POST {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n");
         let mut bytes = head.into_bytes();
@@ -133,12 +150,13 @@
         None
     }
 
-    fn probe(&mut self) -> Vec<u8> {
-        self.asked = Some(Asked::Ping);
+    fn probe(&mut self, number: u64) -> Vec<u8> {
+        self.asked = Some(Asked::Ping(number));
         format!("GET /ping HTTP/1.1\r\n{}\r\n", self.headers()).into_bytes()
     }
 
-    fn feed(&mut self, input: &[u8], said: &mut Vec<Said>, _: &mut Vec<u8>) -> Result<(), End> {
+    fn feed(&mut self, now: Micros, input: &[u8], said: &mut Vec<Said>, _: &mut Vec<u8>) -> Result<(), End> {
+        self.heard_at = Some(now);
         self.input.extend_from_slice(input);
         while !self.input.is_empty() {
             if self.answer.is_none() {
@@ -155,6 +173,16 @@
                 let bare = matches!(head.first[1].as_str(), "204" | "304");
                 let without = if bare { Body::Length(0) } else { Body::UntilClose };
                 let body = head.body(without).map_err(|_| End::Garbled)?;
+                // Guards against a second copy, or an answer to an earlier query: where it tells whose it is.
+                if let (Some(Asked::Query(_, mine)), Some(theirs)) = (&self.asked, head.field(QUERY_ID))
+                    && **mine != *theirs
+                {
+                    return Err(End::Garbled);
+                }
+                if matches!(body, Body::Length(n) if n > MOST_ROWS as u64) {
+                    self.end(End::Broke, said);
+                    return Err(End::Dropped);
+                }
                 self.answer = Some((head, body));
             }
             let Some((_, body)) = &mut self.answer else { break };
@@ -177,9 +205,19 @@
         if let Some((_, Body::Length(0))) = self.answer {
             self.whole(said);
         }
+        let partial = self.answer.is_some() || !self.input.is_empty();
+        self.heard_at = self.heard_at.filter(|_| partial);
         Ok(())
     }
 
+    fn next_due(&self) -> Option<Micros> {
+        self.heard_at.map(|at| at + GAP)
+    }
+
+    fn due(&mut self, now: Micros, _: &mut Vec<Said>, _: &mut Vec<u8>) -> Result<(), End> {
+        if self.heard_at.is_some_and(|at| at + GAP <= now) { Err(End::Silent) } else { Ok(()) }
+    }
+
     /// Guards against a cut-off answer that passes for a whole one: only a body with no length of its own may
     /// end with the connection; one that promised more has failed.
     fn finish(&mut self, said: &mut Vec<Said>) {
--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -51,7 +51,9 @@
 pub struct Link<W> {
     wire: W,
     on_it: BTreeMap<RequestId, OnIt>,
-    probes: VecDeque<Micros>,
+    /// Probes without an answer: their numbers, and when they went out.
+    probes: VecDeque<(u64, Micros)>,
+    next_probe: u64,
     outbox: VecDeque<Chunk>,
     heard_at: Micros,
     quiet_since: Micros,
@@ -69,6 +71,7 @@
             wire,
             on_it: BTreeMap::new(),
             probes: VecDeque::new(),
+            next_probe: 1,
             outbox: VecDeque::new(),
             heard_at: now,
             quiet_since: now,
@@ -111,7 +114,8 @@
     /// When it wants its next turn by itself.
     pub fn next_due(&self) -> Option<Micros> {
         let settles = self.on_it.values().filter_map(|a| a.settles).min();
-        settles.into_iter().chain(self.probes.front().map(|at| at + PROBE_TIME)).min()
+        let probe = self.probes.front().map(|(_, at)| at + PROBE_TIME);
+        settles.into_iter().chain(probe).chain(self.wire.next_due()).min()
     }
 
     /// Takes an attempt on.
@@ -124,9 +128,10 @@
 
     /// Sends a probe.
     pub fn probe(&mut self, now: Micros) {
-        let bytes = self.wire.probe();
+        let bytes = self.wire.probe(self.next_probe);
         self.outbox.push_back(Chunk { starts: None, bytes, done: 0 });
-        self.probes.push_back(now);
+        self.probes.push_back((self.next_probe, now));
+        self.next_probe += 1;
     }
 
     fn end(
@@ -211,19 +216,25 @@
         if input.is_empty() {
             self.wire.finish(&mut said);
             self.over = self.over.or(Some(End::Closed));
-        } else if let Err(end) = self.wire.feed(input, &mut said, &mut replies) {
+        } else if let Err(end) = self.wire.feed(now, input, &mut said, &mut replies) {
             self.over = self.over.or(Some(end));
         }
+        self.hear(now, said, replies, events);
+    }
+
+    fn hear(&mut self, now: Micros, said: Vec<Said>, replies: Vec<u8>, events: &mut Vec<Event>) {
         if !replies.is_empty() {
             self.outbox.push_back(Chunk { starts: None, bytes: replies, done: 0 });
         }
         for said in said {
             match said {
                 Said::Ended(id, end, rows, load) => events.extend(self.end(now, id, end, rows, load)),
-                Said::Probed(kind, load) => {
-                    let sent = self.probes.pop_front();
-                    let latency = sent.map(|at| now.saturating_sub(at));
-                    events.extend(latency.map(|latency| Event::Probed { kind, latency, load }));
+                // Guards against a second copy, or one that comes too late: it tells nothing of a later probe.
+                Said::Probed(number, kind, load) => {
+                    let sent = self.probes.iter().position(|(n, _)| *n == number);
+                    if let Some((_, at)) = sent.and_then(|sent| self.probes.remove(sent)) {
+                        events.push(Event::Probed { kind, latency: now.saturating_sub(at), load });
+                    }
                 }
             }
         }
@@ -234,7 +245,14 @@
         let settled = self.on_it.iter().filter(|(_, a)| a.settles.is_some_and(|at| at <= now));
         let settled: Vec<RequestId> = settled.map(|(id, _)| *id).collect();
         events.extend(settled.into_iter().filter_map(|id| self.end_plain(now, id, End::Withdrawn)));
-        while let Some(at) = self.probes.front().copied().filter(|at| at + PROBE_TIME <= now) {
+        if self.wire.next_due().is_some_and(|at| at <= now) {
+            let (mut said, mut replies) = (Vec::new(), Vec::new());
+            if let Err(end) = self.wire.due(now, &mut said, &mut replies) {
+                self.over = self.over.or(Some(end));
+            }
+            self.hear(now, said, replies, events);
+        }
+        while let Some((_, at)) = self.probes.front().copied().filter(|(_, at)| at + PROBE_TIME <= now) {
             self.probes.pop_front();
             let (kind, load) = (OutcomeKind::Timeout, LoadReport::default());
             events.push(Event::Probed { kind, latency: now - at, load });
@@ -249,7 +267,7 @@
             let given_up = self.on_it.get(&id).is_some_and(|a| a.settles.is_some());
             events.extend(self.end_plain(now, id, if given_up { End::Withdrawn } else { end }));
         }
-        for at in std::mem::take(&mut self.probes) {
+        for (_, at) in std::mem::take(&mut self.probes) {
             let kind = crate::manager::ends::outcome(end, Reach::Sent);
             events.push(Event::Probed { kind, latency: now - at, load: LoadReport::default() });
         }
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -13,8 +13,8 @@
 pub enum Said {
     /// An attempt ended; with [`End::Done`] come all its rows.
     Ended(RequestId, End, Vec<u8>, LoadReport),
-    /// A probe came back.
-    Probed(OutcomeKind, LoadReport),
+    /// The probe with that number came back.
+    Probed(u64, OutcomeKind, LoadReport),
 }
 
 /// One connection's protocol, without its socket.
@@ -25,10 +25,20 @@
     fn start(&mut self, now: Micros, job: &Job) -> Vec<u8>;
     /// The bytes that give up an attempt that went out; `None` if only closing the connection does.
     fn stop(&mut self, id: RequestId) -> Option<Vec<u8>>;
-    /// The bytes of a probe.
-    fn probe(&mut self) -> Vec<u8>;
+    /// The bytes of the probe with that number.
+    fn probe(&mut self, number: u64) -> Vec<u8>;
     /// Reads what came. `replies` takes what the protocol has to say at once.
-    fn feed(&mut self, input: &[u8], said: &mut Vec<Said>, replies: &mut Vec<u8>) -> Result<(), End>;
+    fn feed(
+        &mut self,
+        now: Micros,
+        input: &[u8],
+        said: &mut Vec<Said>,
+        replies: &mut Vec<u8>,
+    ) -> Result<(), End>;
+    /// By when the rest of what has begun to come must be there.
+    fn next_due(&self) -> Option<Micros>;
+    /// Ends what is overdue by now: an answer, or the whole connection.
+    fn due(&mut self, now: Micros, said: &mut Vec<Said>, replies: &mut Vec<u8>) -> Result<(), End>;
     /// The engine closed its side: an answer may end by that.
     fn finish(&mut self, said: &mut Vec<Said>);
     /// Whether the connection may carry a further attempt after those on it.
--- a/src/engine/platform.rs
+++ b/src/engine/platform.rs
@@ -8,17 +8,25 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A line longer than this is not the protocol, nor is a body.
+/// A line longer than this is not the protocol, nor is a body: pages are smaller.
 const MOST_LINE: usize = 4_096;
-const MOST_BODY: usize = 64 * 1024;
+const MOST_BODY: usize = 6_000;
+/// A result has three columns.
+const COLUMNS: usize = 3;
 /// An answer with more pages or bytes than this is not believed.
 const MOST_SHEETS: usize = 64;
 const MOST_ROWS: usize = 256 * 1024;
+/// A message is whole so long after its first byte, and a page there so long after the answer that told of it.
+/// Guards what else is on the connection against an answer that stops short or never ends.
+const WHOLE: Micros = 500 * MS;
+const PAGES: Micros = 1_500 * MS;
 
 struct Running {
     id: RequestId,
     /// Pages so far, by number; empty until page 0 tells how many there are.
     sheets: Vec<Option<Vec<u8>>>,
+    /// When page 0 came.
+    told_at: Micros,
     load: LoadReport,
 }
 
@@ -27,13 +35,14 @@
     names: Rc<Names>,
     running: BTreeMap<Rc<str>, Running>,
     input: Vec<u8>,
-    probes: u64,
+    /// Since when a message has begun in it that is not whole.
+    began: Option<Micros>,
 }
 
 impl Platform {
     /// A new connection.
     pub fn new(names: Rc<Names>) -> Platform {
-        Platform { names, running: BTreeMap::new(), input: Vec::new(), probes: 0 }
+        Platform { names, running: BTreeMap::new(), input: Vec::new(), began: None }
     }
 
     fn load(&self, fields: &[(&str, &str)]) -> LoadReport {
@@ -57,6 +66,7 @@
 
     fn answer(
         &mut self,
+        now: Micros,
         (key, word): (&str, &str),
         fields: &[(&str, &str)],
         body: Vec<u8>,
@@ -65,7 +75,8 @@
     ) -> Result<(), End> {
         if matches!(word, "FIT" | "UNFIT") {
             let kind = if word == "FIT" { OutcomeKind::Ok } else { OutcomeKind::Full };
-            said.push(Said::Probed(kind, self.load(fields)));
+            let number = key.strip_prefix('p').and_then(|n| n.parse().ok());
+            said.extend(number.map(|number| Said::Probed(number, kind, self.load(fields))));
             return Ok(());
         }
         let load = self.load(fields);
@@ -75,12 +86,15 @@
         }
         // An answer to what was given up a moment ago is no fault.
         let Some(running) = self.running.get_mut(key) else { return Ok(()) };
+        if matches!(word, "DONE" | "MORE") && !whole_rows(&body) {
+            return Err(End::Garbled);
+        }
         let id = running.id;
         let mut ended = None;
         match word {
             "DONE" if running.sheets.is_empty() => {
-                let sheets = count("sheets").unwrap_or(1).max(1);
-                running.load = load;
+                let Some(sheets) = count("sheets").filter(|n| *n > 0) else { return Err(End::Garbled) };
+                (running.load, running.told_at) = (load, now);
                 if sheets > MOST_SHEETS {
                     ended = Some(End::Broke);
                 } else {
@@ -90,10 +104,13 @@
                     (1..sheets).for_each(|n| replies.extend_from_slice(ask(n).as_bytes()));
                 }
             }
-            "MORE" => match count("sheet").and_then(|n| running.sheets.get_mut(n)) {
-                Some(sheet @ None) => *sheet = Some(body),
-                _ => return Err(End::Garbled),
-            },
+            // A second copy does no harm, nor does a page that nobody asked for.
+            "DONE" => {}
+            "MORE" => {
+                if let Some(sheet @ None) = count("sheet").and_then(|n| running.sheets.get_mut(n)) {
+                    *sheet = Some(body);
+                }
+            }
             "WAIT" => ended = Some(End::Full),
             "PAST" => ended = Some(End::Past),
             "BROKE" => ended = Some(End::Broke),
@@ -147,7 +164,7 @@
         let mut bytes = format!("do {key} cls={class},limit={limit}{allot} {length}\r\n").into_bytes();
         bytes.extend_from_slice(&job.statement);
         bytes.extend_from_slice(b"\r\n");
-        let running = Running { id: job.id, sheets: Vec::new(), load: LoadReport::default() };
+        let running = Running { id: job.id, sheets: Vec::new(), told_at: 0, load: LoadReport::default() };
         self.running.insert(job.key.clone(), running);
         bytes
     }
@@ -159,26 +176,56 @@
         Some(key.map_or(Vec::new(), |key| format!("{word} {key}\r\n").into_bytes()))
     }
 
-    fn probe(&mut self) -> Vec<u8> {
-        self.probes += 1;
+    fn probe(&mut self, number: u64) -> Vec<u8> {
         let word = if self.names.load_fields.is_empty() { "ping" } else { "top" };
-        format!("{word} p{}\r\n", self.probes).into_bytes()
+        format!("{word} p{number}\r\n").into_bytes()
     }
 
-    fn feed(&mut self, input: &[u8], said: &mut Vec<Said>, replies: &mut Vec<u8>) -> Result<(), End> {
+    fn feed(
+        &mut self,
+        now: Micros,
+        input: &[u8],
+        said: &mut Vec<Said>,
+        replies: &mut Vec<u8>,
+    ) -> Result<(), End> {
         self.input.extend_from_slice(input);
         let mut used = 0;
         while let Some(message) = message(&self.input[used..])? {
             let Message { words, body, length } = message;
             let line = std::str::from_utf8(&words).map_err(|_| End::Garbled)?;
-            let words: Vec<&str> = line.split_ascii_whitespace().collect();
-            let [key, word, rest @ ..] = &words[..] else { return Err(End::Garbled) };
-            let fields = rest.first().map_or("-", |f| f);
-            let fields: Vec<(&str, &str)> = fields.split(',').filter_map(|f| f.split_once('=')).collect();
-            self.answer((key, word), &fields, body, said, replies)?;
+            let words: Vec<&str> = line.split(' ').collect();
+            let [key, word, fields, _] = words[..] else { return Err(End::Garbled) };
+            let fields: Option<Vec<(&str, &str)>> = match fields {
+                "-" => Some(Vec::new()),
+                list => list.split(',').map(|f| f.split_once('=')).collect(),
+            };
+            self.answer(now, (key, word), &fields.ok_or(End::Garbled)?, body, said, replies)?;
             used += length;
         }
         self.input.drain(..used);
+        // What is left began with these bytes, or is still the same message.
+        let began = self.began.filter(|_| used == 0).unwrap_or(now);
+        self.began = (!self.input.is_empty()).then_some(began);
+        if self.input.is_empty() {
+            self.input.shrink_to(MOST_LINE);
+        }
+        Ok(())
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        let pages = self.running.values().filter(|r| !r.sheets.is_empty()).map(|r| r.told_at + PAGES);
+        pages.chain(self.began.map(|at| at + WHOLE)).min()
+    }
+
+    fn due(&mut self, now: Micros, said: &mut Vec<Said>, replies: &mut Vec<u8>) -> Result<(), End> {
+        if self.began.is_some_and(|at| at + WHOLE <= now) {
+            return Err(End::Silent);
+        }
+        let late = |r: &Running| !r.sheets.is_empty() && r.told_at + PAGES <= now;
+        for (key, running) in self.running.extract_if(.., |_, r| late(r)) {
+            replies.extend_from_slice(format!("forget {key}\r\n").as_bytes());
+            said.push(Said::Ended(running.id, End::Silent, Vec::new(), running.load));
+        }
         Ok(())
     }
 
@@ -195,21 +242,18 @@
     length: usize,
 }
 
-/// The first whole message, if it is there.
+/// The first whole message, if it is there. Guards against noise: an answer is four words and a body that ends
+/// where the last of them says, and nothing else.
 fn message(input: &[u8]) -> Result<Option<Message>, End> {
     let seen = &input[..input.len().min(MOST_LINE)];
     let Some(end) = seen.windows(2).position(|w| w == b"\r\n") else {
         return if input.len() > MOST_LINE { Err(End::Garbled) } else { Ok(None) };
     };
     let words = input[..end].to_vec();
-    let parts: Vec<&[u8]> = words.split(|c| *c == b' ').collect();
-    let last = parts.last().filter(|_| parts.len() > 2).and_then(|w| std::str::from_utf8(w).ok());
-    let Some(size) = last.and_then(|w| w.parse::<usize>().ok()) else {
-        return Ok(Some(Message { words, body: Vec::new(), length: end + 2 }));
-    };
-    if size > MOST_BODY {
-        return Err(End::Garbled);
-    }
+    let last = words.rsplit(|c| *c == b' ').next().unwrap_or_default();
+    let digits = last.iter().all(u8::is_ascii_digit);
+    let size = std::str::from_utf8(last).ok().filter(|_| digits).and_then(|w| w.parse::<usize>().ok());
+    let size = size.filter(|size| *size <= MOST_BODY).ok_or(End::Garbled)?;
     let (from, to) = (end + 2, end + 2 + size);
     match input.get(to..to + 2) {
         None => Ok(None),
@@ -217,3 +261,14 @@
         Some(_) => Err(End::Garbled),
     }
 }
+
+/// Whether a page is one: whole rows of three columns of text. Guards against passing noise on as an answer.
+fn whole_rows(page: &[u8]) -> bool {
+    let rows = page.strip_suffix(b"\n").unwrap_or(page).split(|c| *c == b'\n');
+    let columns = |row: &[u8]| row.iter().filter(|c| **c == b'\t').count() + 1;
+    let text = |c: char| !c.is_control() || matches!(c, '\t' | '\n');
+    page.is_empty()
+        || page.ends_with(b"\n")
+            && rows.map(columns).all(|n| n == COLUMNS)
+            && std::str::from_utf8(page).is_ok_and(|page| page.chars().all(text))
+}
--- a/src/kit/engines.rs
+++ b/src/kit/engines.rs
@@ -217,7 +217,7 @@
             (format!("{id} DONE {fields} {}\r\n{first}\r\n", first.len()), RunEnd::Answered)
         }
         // More pages than there are: the engine has lost them by the time they are asked for.
-        Act::Late => (format!("{id} DONE sheets=3 4\r\na\tb\n\r\n"), RunEnd::Answered),
+        Act::Late => (format!("{id} DONE sheets=3 6\r\na\tb\tc\n\r\n"), RunEnd::Answered),
         Act::Full => (format!("{id} WAIT - 0\r\n\r\n"), RunEnd::TurnedAway),
         Act::Break => (format!("{id} BROKE - 0\r\n\r\n"), RunEnd::Answered),
         Act::Garble => ("what is this\r\n".to_owned(), RunEnd::Answered),
--- a/tests/inside/clickhouse.rs
+++ b/tests/inside/clickhouse.rs
@@ -168,7 +168,7 @@
             assert!(sent.starts_with("POST /?query_id=k&max_execution_time=1.000&"), "{sent}");
             let (mut heard, mut replies) = (Vec::new(), Vec::new());
             for piece in text.as_bytes().chunks(step) {
-                engine.feed(piece, &mut heard, &mut replies).expect("no fault");
+                engine.feed(SEC, piece, &mut heard, &mut replies).expect("no fault");
             }
             engine.finish(&mut heard);
             let ends: Vec<(End, &[u8])> = heard
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -22,7 +22,7 @@
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        let (n, words) = (u8::arbitrary(g), ["DONE sheets=1 2", "WAIT - 2", "BROKE - 2", "PAST - 2"]);
+        let (n, words) = (u8::arbitrary(g), ["DONE sheets=1 6", "WAIT - 6", "BROKE - 6", "PAST - 6"]);
         match u8::arbitrary(g) % 10 {
             0..=2 => Step::Start,
             3 => Step::Stop(n),
@@ -123,7 +123,7 @@
                 let Some(id) = pick(*n).filter(|id| self.on_it[id].first_byte) else { return Ok(()) };
                 // What was given up is not known to the wire any more.
                 answered = Some((id, *word)).filter(|_| self.on_it[&id].stopped_at.is_none());
-                let text = format!("{id:016x} {word}\r\na\n\r\n");
+                let text = format!("{id:016x} {word}\r\na\tb\tc\n\r\n");
                 let (one, other) = text.as_bytes().split_at(usize::from(*n) % text.len());
                 [one, other]
                     .iter()
@@ -165,3 +165,73 @@
     let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(60, 11)).tests(2_000);
     check.quickcheck(walk as fn(Vec<Step>) -> Result<bool, String>);
 }
+
+fn link() -> Link<Platform> {
+    let names = Names { classes: vec!["lookup".into()], streams: 4, ..Names::default() };
+    let mut link = Link::new(0, Platform::new(Rc::new(names)));
+    for id in 1..=2 {
+        let (key, statement) = (format!("k{id}").into(), Rc::from(&b"select"[..]));
+        let (attempt, class, until) = (AttemptNo(0), ClassId(0), 9_000 * MS);
+        let job =
+            Job { id: RequestId(id), attempt, key, class, statement, session: None, until, memory_mb: 0.0 };
+        link.start(0, &job);
+    }
+    while let Some(n) = link.to_write().map(<[u8]>::len) {
+        link.wrote(0, n);
+    }
+    link
+}
+
+/// Guards against passing on what no engine made: a spoilt answer ends its connection, in bounded time and memory.
+#[test]
+fn a_spoilt_answer_spoils_its_connection() {
+    let endless = format!("k1 DONE {}", "x".repeat(5_000));
+    for text in [
+        "k1 DONE sheets=1 -3\r\n",
+        "k1 DONE sheets=1 +6\r\na\tb\tc\n\r\n",
+        "k1 DONE sheets=1 3000000000\r\nabc",
+        "k1 DONE sheets=1 6\r\na\tb\tc\nmore\r\n",
+        "k1 DONE sheets=1 4\r\na\tb\n\r\n",
+        "k1 DONE sheets=0 0\r\n\r\n",
+        "k1 DONE sheets=1 5\r\na\tb\tc\r\n",
+        "k1 DONE sheets=1 6\r\na\tb\t\0\n\r\n",
+        "k1 DONE sheets=1 x 0\r\n\r\n",
+        "k1 DONE sheets 0\r\n\r\n",
+        "noise\r\n",
+        "k1 GONE - 0\r\n\r\n",
+        &endless,
+    ] {
+        let (mut link, mut events) = (link(), Vec::new());
+        link.read(MS, text.as_bytes(), &mut events);
+        assert!(link.over() == Some(End::Garbled) && events.is_empty(), "{text:?}: {events:?}");
+    }
+    // One that stops short ends by the time, and bytes that dribble in do not put that off.
+    let (mut link, mut events) = (link(), Vec::new());
+    link.read(MS, b"k1 DONE sheets=1 6\r\na", &mut events);
+    link.read(400 * MS, b"\t", &mut events);
+    let due = link.next_due().expect("due");
+    link.due(due, &mut events);
+    assert!(link.over() == Some(End::Silent) && due < 1_000 * MS, "{due}");
+}
+
+/// Guards good answers against what comes with them: second copies, strangers' answers, late reports of load.
+#[test]
+fn what_nobody_asked_for_does_no_harm() {
+    let (mut link, mut events) = (link(), Vec::new());
+    link.probe(0);
+    let page = |n| format!("k1 MORE sheet={n} 6\r\nd\te\tf\n\r\n");
+    let told = "k1 DONE sheets=2 6\r\na\tb\tc\n\r\n";
+    let load = "p1 FIT meter=queue:1 0\r\n\r\n";
+    let text = format!("zz DONE sheets=1 6\r\na\tb\tc\n\r\n{}{told}{told}{load}{load}", page(1));
+    link.read(MS, text.as_bytes(), &mut events);
+    link.read(MS, format!("{}{}{}{told}", page(9), page(1), page(1)).as_bytes(), &mut events);
+    let probes = events.iter().filter(|e| matches!(e, Event::Probed { .. })).count();
+    let ended = events.iter().filter_map(|e| if let Event::Ended(e) = e { Some(e) } else { None });
+    let ended: Vec<(u32, End, &[u8])> = ended.map(|e| (e.id.0, e.end, &e.rows[..])).collect();
+    assert_eq!((probes, ended, link.over()), (1, vec![(1, End::Done, &b"a\tb\tc\nd\te\tf\n"[..])], None));
+    // A page that never comes ends its own request alone.
+    let mut events = Vec::new();
+    link.read(2 * MS, b"k2 DONE sheets=2 0\r\n\r\n", &mut events);
+    link.due(9_000 * MS, &mut events);
+    assert!(matches!(&events[..], [Event::Ended(e)] if e.end == End::Silent) && link.over().is_none());
+}
