Forget engines that are gone, end what is out there, and give all up before a kill

At fault: net/list.rs, net/core.rs, Manager::engines and Gateway::engines kept each engine that was ever listed, and an actor's mailbox alone took 600 KB (4,096 slots written at its start). Ruled out: clients (descriptors stood at 149, their map and buffers end with them) and the names of past requests (bounded). An engine that the list says to be gone, or whose address a new one has, leaves no actor, entry or report behind; what is out there ends a second later instead of at its deadline. Before the kill that follows SIGTERM what is still open is given up, refused where that is honest.

--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -167,6 +167,9 @@
 /// Names of requests that are over are remembered so far: a name must not come again while words about it may.
 const MOST_PAST_KEYS: usize = 4_096;
 
+/// When to come back to another manager, as this one ends.
+const ELSEWHERE_AFTER: Micros = 50_000;
+
 /// The core.
 pub struct Manager {
     module: Gateway,
@@ -237,6 +240,7 @@
             self.engines.values_mut().for_each(|readiness| *readiness = Readiness::Gone);
         }
         self.engines.extend(entries.iter().map(|e| (e.id, e.readiness)));
+        self.engines.retain(|_, readiness| *readiness != Readiness::Gone);
         self.tell(now, Event::List { kind, entries }, orders);
     }
 
@@ -360,6 +364,21 @@
         self.forget(id);
     }
 
+    /// How long a client waits at most.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|class| micros(class.deadline)).max().unwrap_or(0)
+    }
+
+    /// The program is about to be killed: gives up what is open, refused where that is honest, since another
+    /// manager may still serve it.
+    pub fn end_all(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        let open: Vec<RequestId> = self.open.iter().filter(|(_, o)| !o.closed).map(|(id, _)| *id).collect();
+        for id in open {
+            self.refuse(id, ELSEWHERE_AFTER, orders);
+            self.tell(now, Event::ClientGone(id), orders);
+        }
+    }
+
     /// A probe came back.
     pub fn probed(
         &mut self,
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -20,6 +20,11 @@
 /// then still bring some.
 const LINGER: Micros = 900 * MS;
 
+/// The kill comes no sooner than the longest deadline, or this if it is longer, and 0.7 s more; what is open
+/// shortly before that is given up, so that its client hears of it.
+const LONGEST: Micros = 3_000 * MS;
+const LAST_CALL: Micros = 450 * MS;
+
 /// What the module's actor is told.
 pub enum Input {
     /// A client connected; its answers go there.
@@ -65,15 +70,17 @@
     engines: HashMap<EngineId, Sender<ToEngine>>,
     orders: Vec<Order>,
     stop_at: Option<Micros>,
+    /// When to answer what is still open at the end.
+    last_at: Option<Micros>,
 }
 
 /// Runs until it was asked to stop and all is answered.
 pub async fn run(shared: Rc<Shared>, manager: Manager, mailbox: Receiver<Input>) -> Manager {
     let (clients, engines) = (HashMap::new(), HashMap::new());
-    let mut core = Core { manager, clients, engines, orders: Vec::new(), stop_at: None };
+    let mut core = Core { manager, clients, engines, orders: Vec::new(), stop_at: None, last_at: None };
     loop {
         let stop_due = core.stop_at.map(|at| at.max(clock::now() + 5 * MS));
-        let due = core.manager.next_due().into_iter().chain(stop_due).min();
+        let due = core.manager.next_due().into_iter().chain(stop_due).chain(core.last_at).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
             None
@@ -85,6 +92,10 @@
             core.input(now, input);
         }
         core.manager.due(now, &mut core.orders);
+        if core.last_at.is_some_and(|at| at <= now) {
+            core.last_at = None;
+            core.manager.end_all(now, &mut core.orders);
+        }
         core.dispatch(now);
         // Guards against an end that takes the last answer along: it may still be in its client's mailbox, or
         // not written yet.
@@ -112,6 +123,7 @@
                 manager.probed(now, engine, kind, latency, load, orders);
             }
             Input::List(kind, entries, actors) => {
+                self.engines.retain(|_, actor| !actor.is_closed());
                 self.engines.extend(actors);
                 manager.list(now, kind, entries, orders);
             }
@@ -121,7 +133,11 @@
             Input::Reloaded(false) => manager.counters.reload_failures += 1,
             Input::DirectoryFailed => manager.counters.directory_failures += 1,
             Input::Report => eprintln!("yokelift: {}", manager.counters),
-            Input::Stop => self.stop_at = Some(self.stop_at.unwrap_or(now + LINGER)),
+            Input::Stop if self.stop_at.is_none() => {
+                self.stop_at = Some(now + LINGER);
+                self.last_at = Some(now + manager.longest_deadline().min(LONGEST) + LAST_CALL);
+            }
+            Input::Stop => {}
         }
         self.dispatch(now);
     }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -18,8 +18,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-/// Orders that wait for an engine's actor, which never waits itself: more than it can ever hold.
-const MAILBOX: usize = 4_096;
+/// Orders that wait for an engine's actor, which never waits itself: more than one turn of the module can give.
+const MAILBOX: usize = 1_024;
+/// How long answers of an engine that is gone may still come: what is in flight. After that all of it has ended.
+const GONE_GRACE: Micros = SEC;
 /// Orders that wait for a connection beside those of its attempts.
 const SPARE: usize = 64;
 /// Nothing is written to an engine that does not read for so long.
@@ -40,6 +42,8 @@
     Drain,
     /// The engine takes work again.
     Resume,
+    /// The engine is gone: nothing new, and soon nothing at all.
+    Gone,
 }
 
 /// An engine as its actor knows it.
@@ -84,8 +88,15 @@
     mailbox: Receiver<ToEngine>,
 ) {
     let mut conns: Vec<Handle> = Vec::new();
-    let mut draining = false;
-    while let Ok(order) = mailbox.recv().await {
+    let (mut draining, mut gone_at) = (false, None);
+    loop {
+        // Guards memory and descriptors on long days, where engines are replaced by new ones without end; and what
+        // waits for an engine that vanished without a word.
+        let order = or(async { mailbox.recv().await.ok() }, async {
+            until(gone_at).await;
+            None
+        });
+        let Some(order) = order.await else { break };
         conns.retain(|c| !c.orders.is_closed());
         match order {
             ToEngine::Start(job) if draining => refuse(&core, &job, End::Drained).await,
@@ -133,7 +144,10 @@
                 }
             }
             ToEngine::CloseIdle => conns.iter().for_each(|c| drop(c.orders.try_send(ToEngine::CloseIdle))),
-            ToEngine::Drain => {
+            ToEngine::Drain | ToEngine::Gone => {
+                if matches!(order, ToEngine::Gone) {
+                    gone_at = gone_at.or(Some(clock::now() + GONE_GRACE));
+                }
                 draining = true;
                 for c in conns.iter().filter(|c| c.orders.try_send(ToEngine::Drain).is_err()) {
                     c.orders.close();
@@ -142,6 +156,13 @@
             ToEngine::Resume => draining = false,
         }
     }
+    // Its connections end with their handles. What is still in the mailbox never went out.
+    mailbox.close();
+    while let Ok(order) = mailbox.try_recv() {
+        if let ToEngine::Start(job) = order {
+            refuse(&core, &job, End::Drained).await;
+        }
+    }
 }
 
 fn names_database(job: &Job) -> bool {
@@ -310,7 +331,7 @@
             ToEngine::Stop(id, attempt) => self.link.stop(now, id, attempt, &mut self.events),
             ToEngine::Probe => self.link.probe(now),
             ToEngine::Drain => self.link.drain(now, &mut self.events),
-            ToEngine::CloseIdle | ToEngine::Resume => {}
+            ToEngine::CloseIdle | ToEngine::Resume | ToEngine::Gone => {}
         }
     }
 
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -88,6 +88,7 @@
     let mut first = true;
     while let Ok(mut update) = mailbox.recv().await {
         let mut made = Vec::new();
+        supersede(&known, &mut update);
         if update.whole {
             // A whole list of the coordinator does not name the engines of the file.
             update.engines.extend(&http.fixed);
@@ -114,6 +115,7 @@
                 k.listed = *listed;
             }
         }
+        known.retain(|_, k| k.listed.entry.readiness != Readiness::Gone);
         let serving = |k: &&Known| k.listed.entry.readiness == Readiness::Ready;
         let serving = known.values().filter(serving).map(|k| k.listed.entry.id);
         shared
@@ -130,12 +132,28 @@
     }
 }
 
+/// Where a new engine listens, an old one is gone, told or not. Guards against work that goes to the new process
+/// under the name of the old one.
+fn supersede(known: &BTreeMap<EngineId, Known>, update: &mut Update) {
+    let newcomer = |l: &&Listed| l.entry.readiness == Readiness::Ready && !known.contains_key(&l.entry.id);
+    let taken: BTreeSet<SocketAddr> = update.engines.iter().filter(newcomer).map(|l| l.addr).collect();
+    let named: BTreeSet<EngineId> = update.engines.iter().map(|l| l.entry.id).collect();
+    let old =
+        known.values().map(|k| k.listed).filter(|l| taken.contains(&l.addr) && !named.contains(&l.entry.id));
+    let gone = |mut l: Listed| {
+        l.entry.readiness = Readiness::Gone;
+        l
+    };
+    update.engines.extend(old.map(gone));
+}
+
 /// Tells an engine's actor first, and the module after it: nothing that waits to go out outlives the news.
 fn mark(k: &mut Known, readiness: Readiness) {
     let was = std::mem::replace(&mut k.listed.entry.readiness, readiness);
     let order = match readiness {
         Readiness::Ready if was != Readiness::Ready => ToEngine::Resume,
-        Readiness::Draining | Readiness::Gone if was == Readiness::Ready => ToEngine::Drain,
+        Readiness::Draining if was == Readiness::Ready => ToEngine::Drain,
+        Readiness::Gone => ToEngine::Gone,
         _ => return,
     };
     if k.actor.try_send(order).is_err() {
@@ -234,3 +252,49 @@
     let weight = f64::from(u32_at(15)) / 1000.0;
     Some(listed(u32_at(0), SocketAddr::from((ip, u16_at(8))), readiness, place, weight, started))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+
+    /// Guards memory, descriptors and the drain rule on days when engines are replaced without end, at new
+    /// addresses or at the address of one that nobody has told to be gone yet.
+    #[test]
+    fn a_replaced_engine_leaves_nothing_behind() {
+        let shared = Shared::new(64, 32);
+        let (core, news) = async_channel::unbounded();
+        let (updates, mailbox) = async_channel::bounded(MAILBOX);
+        let actors = Rc::new(RefCell::new(Vec::new()));
+        let made = actors.clone();
+        let make: MakeEngine = Box::new(move |listed| {
+            let (orders, mailbox) = async_channel::unbounded();
+            made.borrow_mut().push((listed.entry.id.0, mailbox));
+            orders
+        });
+        shared.spawn(run(shared.clone(), core, mailbox, make, Http::default()));
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let one = |id, port, state| listed(id, at(port), state, (0, 0, 0), 1.0, 0);
+        let executor = shared.executor.clone();
+        let told = async_io::block_on(executor.run(async {
+            let mut told = Vec::new();
+            for id in 1..=40u32 {
+                // Odd ones come to the address of the one before, with no word of its end.
+                let mut engines = vec![one(id, 1_000 + (id / 2) as u16, Readiness::Ready)];
+                if id % 2 == 0 {
+                    engines.push(one(id - 1, 1_000 + (id / 2 - 1) as u16, Readiness::Gone));
+                }
+                let _ = updates.send(Update { index: u64::from(id), whole: id == 1, engines }).await;
+                let Ok(Input::List(_, entries, _)) = news.recv().await else { panic!("no news") };
+                told.extend(entries.iter().filter(|e| e.readiness == Readiness::Gone).map(|e| e.id.0));
+            }
+            told
+        }));
+        let actors = actors.borrow();
+        let left = actors.iter().filter(|(_, orders)| !orders.is_closed()).map(|(id, _)| *id);
+        assert_eq!(left.collect::<Vec<u64>>(), [40]);
+        let gone = |orders: &Receiver<ToEngine>| matches!(orders.try_recv(), Ok(ToEngine::Gone));
+        let went = actors.iter().filter(|(_, orders)| gone(orders)).count();
+        assert_eq!((went, told), (39, (1..=39).collect::<Vec<u64>>()));
+    }
+}
--- a/tests/inside/law.rs
+++ b/tests/inside/law.rs
@@ -195,3 +195,19 @@
     assert!(learned[1].1 > 60, "answers were learned from: {learned:?}");
     assert!(learned.iter().all(|(work, _)| (0.12..0.4).contains(work)), "of 0.2 s: {learned:?}");
 }
+
+/// Guards memory on long days: an engine that was replaced is forgotten, once nothing is out there any more.
+#[test]
+fn engines_that_are_gone_are_forgotten() {
+    let mut p = Play { g: Gateway::new(100 * S, settings(), 5), now: 100 * S, next: 0, out: vec![] };
+    let entry = |i, readiness| EngineEntry { id: EngineId(i), readiness, ..EngineEntry::default() };
+    p.tell(Event::List { kind: ListKind::Full, entries: vec![entry(1, Readiness::Ready)] });
+    p.seconds(1, 3, S / 5);
+    assert_eq!(p.out.first().map(|(_, engine)| *engine), Some(EngineId(1)));
+    for i in 1..100 {
+        let entries = vec![entry(i + 1, Readiness::Ready), entry(i, Readiness::Gone)];
+        p.tell(Event::List { kind: ListKind::Changes, entries });
+    }
+    let left: Vec<u64> = p.g.engines.keys().map(|id| id.0).collect();
+    assert_eq!(left, [1, 100], "the one with attempts out, and the one in service");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -138,6 +138,28 @@
     ));
 }
 
+/// Guards against waiting for an engine that vanished without a word: what the list says to be gone ends soon.
+#[test]
+fn what_is_out_on_an_engine_that_is_gone_ends() {
+    on_both(
+        "engine one KIND\nengine two KIND\nstart\ndrain two\nuntil lists 2\non one hang\nask a LOAD\nseen a\n\
+        gone one\nexpect a failed\nruns a 1\nready two\nuntil lists 4\nask b LOAD\nexpect b served\n\
+        term\nended\ncounter failed 1\ncounter served 1\ncounter open 0",
+    );
+}
+
+/// Guards against requests that the kill finds unanswered: before it all are given up, as far as is honest.
+#[test]
+fn a_planned_end_gives_up_what_would_outlast_it() {
+    for engine in ["platform", "clickhouse"] {
+        play(&format!(
+            "engine one {engine}\nstart\non one hang\non one hang\non one hang\non one hang\nask a rpc load billing-desk 20000 INSERT INTO a_1.b SELECT 1\n\
+            seen a\nask b rpc report billing-desk 14000 SELECT 1\nseen b\nterm\nexpect a failed\nexpect b refused\n\
+            ended\ncounter failed 1\ncounter refused 1\ncounter open 0"
+        ));
+    }
+}
+
 /// A refused connection proves that nothing ran, so even a load goes elsewhere.
 #[test]
 fn an_engine_that_is_down_costs_no_answer() {
