Rehearse the planned end on both kinds of engine

The scenario named no user, so the daemon had no deploy file and took the ClickHouse engine for one of the platform.

--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -153,7 +153,7 @@
 fn a_planned_end_gives_up_what_would_outlast_it() {
     for engine in ["platform", "clickhouse"] {
         play(&format!(
-            "engine one {engine}\nstart\non one hang\non one hang\non one hang\non one hang\nask a rpc load billing-desk 20000 INSERT INTO a_1.b SELECT 1\n\
+            "user anna secret billing-desk\nengine one {engine}\nstart\non one hang\non one hang\non one hang\non one hang\nask a rpc load billing-desk 20000 INSERT INTO a_1.b SELECT 1\n\
             seen a\nask b rpc report billing-desk 14000 SELECT 1\nseen b\nterm\nexpect a failed\nexpect b refused\n\
             ended\ncounter failed 1\ncounter refused 1\ncounter open 0"
         ));
