Keep loads on connections of their own; a connection that breaks is one failure

At fault: net/engine.rs gave every attempt the fullest connection; judge() in decide.rs counted each attempt of a broken connection. Ruled out: engines that are down (their connects fail next, and count).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -808,6 +808,12 @@
                 return;
             }
         };
+        // A connection that breaks ends all attempts on it, and is one failure. Guards against ejecting an engine for
+        // one spoilt answer; one whose process ends shows by the connects that fail next.
+        if o.kind == OutcomeKind::Reset && !trial && now < e.reset_at + SWEEP_EVERY {
+            return;
+        }
+        e.reset_at = if o.kind == OutcomeKind::Reset { now } else { e.reset_at };
         let weight = if e.start < self.sharers { 0.5 } else { FAIL_WEIGHT };
         e.fail_share += weight * (f64::from(u8::from(failed)) - e.fail_share);
         if failed && (trial || (may_eject && e.fail_share > FAIL_SHARE)) {
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -98,6 +98,8 @@
     pub statement: Rc<[u8]>,
     /// What its session adds.
     pub session: Option<Rc<Session>>,
+    /// It must never run twice.
+    pub once: bool,
     /// When nobody waits for it any more.
     pub until: Micros,
     /// Memory to grant in MB; 0 leaves it to the engine.
@@ -471,6 +473,7 @@
         open.sends = open.sends.saturating_add(1);
         let class = &self.classes[usize::from(open.ask.class.0)];
         let again = class.effect == Effect::Safe || !open.may_have_run;
+        let once = class.effect == Effect::Unsafe;
         let until = match timeout {
             0 => open.ask.give_up_at,
             t => open.ask.give_up_at.min(now + micros(t)),
@@ -488,7 +491,7 @@
         self.deadlines.insert((until, id));
         let (key, class, statement) = (open.ask.key.clone(), open.ask.class, open.ask.statement.clone());
         let (session, memory_mb) = (open.ask.session.clone(), open.memory_mb);
-        let job = Job { id, attempt, key, class, statement, session, until, memory_mb };
+        let job = Job { id, attempt, key, class, once, statement, session, until, memory_mb };
         orders.push(Order::Start(engine, job));
     }
 
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -66,6 +66,18 @@
     free: Rc<Cell<usize>>,
     attempts: Rc<RefCell<BTreeSet<RequestId>>>,
     stale: Rc<RefCell<BTreeSet<RequestId>>>,
+    /// What is on it must never run twice: it carries nothing else meanwhile.
+    alone: Cell<bool>,
+}
+
+impl Handle {
+    /// Whether it may take this one. Guards what must never run twice: a spoilt answer to another attempt, or a
+    /// reset, ends all that is on the connection, and this is lost then.
+    fn takes(&self, job: &Job, spare: bool) -> bool {
+        let empty = self.attempts.borrow().is_empty() && self.orders.is_empty();
+        let shares = !spare || empty || !(job.once || self.alone.get());
+        shares && self.free.get() > self.orders.len() && !self.stale.borrow().contains(&job.id)
+    }
 }
 
 /// Starts the actor of an engine. `wire` makes the protocol of each new connection.
@@ -106,14 +118,13 @@
             }
             ToEngine::Start(job) => {
                 // The fullest connection with room, so that spare ones fall idle and close.
-                let room = |c: &&Handle| c.free.get() > c.orders.len() && !c.stale.borrow().contains(&job.id);
-                let fullest = conns.iter().filter(room).min_by_key(|c| c.free.get());
-                let (id, order) = (job.id, ToEngine::Start(job));
-                let lost = match fullest {
-                    Some(c) => hand_over(c, id, order),
+                let spare = shared.engine_sockets.get() < shared.most_engine_sockets.get() * 3 / 4;
+                let room = |c: &&Handle| c.takes(&job, spare);
+                let lost = match conns.iter().filter(room).min_by_key(|c| c.free.get()) {
+                    Some(c) => hand_over(c, job),
                     None => {
                         let c = connect(&shared, &core, &peer, wire());
-                        let lost = hand_over(&c, id, order);
+                        let lost = hand_over(&c, job);
                         conns.push(c);
                         lost
                     }
@@ -176,10 +187,12 @@
 }
 
 /// Hands an attempt to a connection; gives it back if the connection's mailbox is full.
-fn hand_over(c: &Handle, id: RequestId, order: ToEngine) -> Option<Job> {
-    match c.orders.try_send(order) {
+fn hand_over(c: &Handle, job: Job) -> Option<Job> {
+    let (id, once) = (job.id, job.once);
+    match c.orders.try_send(ToEngine::Start(job)) {
         Ok(()) => {
             c.attempts.borrow_mut().insert(id);
+            c.alone.set(once);
             None
         }
         Err(e) => match e.into_inner() {
@@ -192,8 +205,13 @@
 fn connect<W: Wire + 'static>(shared: &Rc<Shared>, core: &Sender<Input>, peer: &Rc<Peer>, wire: W) -> Handle {
     let (orders, mailbox) = bounded(wire.streams() * 2 + SPARE);
     let (free, attempts, stale) = (Rc::new(Cell::new(wire.streams())), Rc::default(), Rc::default());
-    let handle =
-        Handle { orders, free: Rc::clone(&free), attempts: Rc::clone(&attempts), stale: Rc::clone(&stale) };
+    let handle = Handle {
+        orders,
+        free: Rc::clone(&free),
+        attempts: Rc::clone(&attempts),
+        stale: Rc::clone(&stale),
+        alone: Cell::new(false),
+    };
     let (shared, core, peer) = (shared.clone(), core.clone(), peer.clone());
     let executor = shared.executor.clone();
     let task = async move {
--- a/tests/inside/law.rs
+++ b/tests/inside/law.rs
@@ -1,7 +1,7 @@
 //! The law at small shares, seen from inside: 300 gateways, twenty engines, two queries a second here.
 use crate::decide::Gateway;
 use crate::interface::*;
-use crate::state::secs;
+use crate::state::{Health, Out, secs};
 
 const S: Nanos = 1_000_000_000;
 
@@ -211,3 +211,49 @@
     let left: Vec<u64> = p.g.engines.keys().map(|id| id.0).collect();
     assert_eq!(left, [1, 100], "the one with attempts out, and the one in service");
 }
+
+/// Guards against leaving out an engine for one spoilt answer, which ends all attempts on its connection at once.
+#[test]
+fn a_connection_that_breaks_is_one_failure() {
+    let mut p = Play {
+        g: Gateway::new(100 * S, Settings { me: 0, gateways: 3, ..settings() }, 5),
+        now: 100 * S,
+        next: 0,
+        out: vec![],
+    };
+    let entry = |i| EngineEntry { id: EngineId(i), readiness: Readiness::Ready, ..EngineEntry::default() };
+    p.tell(Event::List { kind: ListKind::Full, entries: (1..=4).map(entry).collect() });
+    let reset = |p: &mut Play, id: u32| {
+        // Out on the first engine, wherever the choice fell.
+        let r = p.g.requests.get_mut(&RequestId(id)).expect("open");
+        r.out = Some(Out { engine: EngineId(1), sent: p.now, ..Out::default() });
+        r.sends = 1;
+        let (id, attempt, engine) = (RequestId(id), AttemptNo(0), EngineId(1));
+        let (kind, work, memory_mb, load) = (OutcomeKind::Reset, None, None, LoadReport::default());
+        p.tell(Event::Outcome(Outcome {
+            id,
+            attempt,
+            engine,
+            kind,
+            latency: S / 10,
+            closed: true,
+            work,
+            memory_mb,
+            load,
+        }));
+    };
+    for id in 1..=12 {
+        p.tell(Event::Request(NewRequest {
+            id: RequestId(id),
+            give_up_at: p.now + 60 * S,
+            ..NewRequest::default()
+        }));
+    }
+    (1..=6).for_each(|id| reset(&mut p, id));
+    assert!(p.g.engines[&EngineId(1)].health == Health::Closed, "six attempts on one connection");
+    for id in 7..=12 {
+        p.now += S / 10;
+        reset(&mut p, id);
+    }
+    assert!(matches!(p.g.engines[&EngineId(1)].health, Health::Open(_)), "connection after connection");
+}
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -93,7 +93,7 @@
                 let (id, key) = (RequestId(self.started), format!("{:016x}", self.started).into());
                 let (class, statement, until) = (ClassId(0), Rc::from(&b"select"[..]), self.now + 1_000 * MS);
                 let (attempt, memory_mb, session) = (AttemptNo(0), 0.0, None);
-                let job = Job { id, attempt, key, class, statement, session, until, memory_mb };
+                let job = Job { id, attempt, key, class, statement, once: false, session, until, memory_mb };
                 self.link.start(self.now, &job);
                 self.on_it.insert(self.started, Attempt::default());
             }
@@ -172,8 +172,17 @@
     for id in 1..=2 {
         let (key, statement) = (format!("k{id}").into(), Rc::from(&b"select"[..]));
         let (attempt, class, until) = (AttemptNo(0), ClassId(0), 9_000 * MS);
-        let job =
-            Job { id: RequestId(id), attempt, key, class, statement, session: None, until, memory_mb: 0.0 };
+        let job = Job {
+            id: RequestId(id),
+            attempt,
+            key,
+            class,
+            statement,
+            once: false,
+            session: None,
+            until,
+            memory_mb: 0.0,
+        };
         link.start(0, &job);
     }
     while let Some(n) = link.to_write().map(<[u8]>::len) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -160,6 +160,15 @@
     }
 }
 
+/// Guards a load against the answers to others: what is spoilt ends all that is on its connection.
+#[test]
+fn a_spoilt_answer_to_another_does_not_end_a_load() {
+    on_both(
+        "engine one KIND\nstart\non one rows 600 3\nask a LOAD\nseen a\non one garble\nask b LOOKUP\nexpect b served\n\
+        runs b 2\nexpect a served\nruns a 1\nterm\nended\ncounter served 2\ncounter open 0",
+    );
+}
+
 /// A refused connection proves that nothing ran, so even a load goes elsewhere.
 #[test]
 fn an_engine_that_is_down_costs_no_answer() {
