Hold back the end of a load until a reset of its connection would show

At fault: Link took the first byte for the whole (Reach::Sent). The last three bytes of what must never run twice go out 5 ms later; until then a break proves that it never ran.

--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -10,6 +10,10 @@
 /// How long after the word that gives an attempt up it counts as given up: the word has to get there before
 /// any further attempt does, and that may travel on another connection.
 const SETTLE: Micros = 5 * MS;
+/// What must never run twice goes out but for its last bytes, and those so long after: longer than a round trip.
+/// Guards it against a connection that is reset under it: what the engine never had whole never ran.
+const HOLD: Micros = 5 * MS;
+const LAST_BYTES: usize = 3;
 /// A probe without an answer for so long has failed.
 const PROBE_TIME: Micros = 250 * MS;
 
@@ -19,6 +23,8 @@
 struct Chunk {
     /// Set while the chunk starts an attempt: then it can be taken back before its first byte.
     starts: Option<RequestId>,
+    /// Set for the end of an attempt that is held back.
+    ends: Option<RequestId>,
     bytes: Vec<u8>,
     done: usize,
 }
@@ -55,6 +61,8 @@
     probes: VecDeque<(u64, Micros)>,
     next_probe: u64,
     outbox: VecDeque<Chunk>,
+    /// Until when the end of an attempt is held back.
+    held_until: Option<Micros>,
     heard_at: Micros,
     quiet_since: Micros,
     /// Nothing was heard since an attempt that was given up went out: it may be cut off. Carries nothing new.
@@ -73,6 +81,7 @@
             probes: VecDeque::new(),
             next_probe: 1,
             outbox: VecDeque::new(),
+            held_until: None,
             heard_at: now,
             quiet_since: now,
             suspect: false,
@@ -115,13 +124,17 @@
     pub fn next_due(&self) -> Option<Micros> {
         let settles = self.on_it.values().filter_map(|a| a.settles).min();
         let probe = self.probes.front().map(|(_, at)| at + PROBE_TIME);
-        settles.into_iter().chain(probe).chain(self.wire.next_due()).min()
+        settles.into_iter().chain(probe).chain(self.wire.next_due()).chain(self.held_until).min()
     }
 
     /// Takes an attempt on.
     pub fn start(&mut self, now: Micros, job: &Job) {
-        let bytes = self.wire.start(now, job);
-        self.outbox.push_back(Chunk { starts: Some(job.id), bytes, done: 0 });
+        let mut bytes = self.wire.start(now, job);
+        let tail = bytes.split_off(bytes.len() - if job.once { LAST_BYTES.min(bytes.len() - 1) } else { 0 });
+        self.outbox.push_back(Chunk { starts: Some(job.id), ends: None, bytes, done: 0 });
+        if !tail.is_empty() {
+            self.outbox.push_back(Chunk { starts: None, ends: Some(job.id), bytes: tail, done: 0 });
+        }
         let on_it = OnIt { attempt: job.attempt, reach: Reach::Unsent, sent_at: now, settles: None };
         self.on_it.insert(job.id, on_it);
     }
@@ -129,7 +142,7 @@
     /// Sends a probe.
     pub fn probe(&mut self, now: Micros) {
         let bytes = self.wire.probe(self.next_probe);
-        self.outbox.push_back(Chunk { starts: None, bytes, done: 0 });
+        self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 });
         self.probes.push_back((self.next_probe, now));
         self.next_probe += 1;
     }
@@ -144,7 +157,7 @@
     ) -> Option<Event> {
         let OnIt { attempt, reach, .. } = self.on_it.remove(&id)?;
         self.quiet_since = now;
-        if reach == Reach::Sent && !matches!(end, End::Done | End::Full | End::Past) {
+        if reach != Reach::Unsent && !matches!(end, End::Done | End::Full | End::Past) {
             self.stale.push_back(id);
             self.stale.drain(..self.stale.len().saturating_sub(MOST_STALE));
         }
@@ -157,7 +170,7 @@
 
     /// Takes an attempt back before its first byte.
     fn take_back(&mut self, now: Micros, id: RequestId, end: End) -> Option<Event> {
-        self.outbox.retain(|chunk| chunk.starts != Some(id));
+        self.outbox.retain(|chunk| chunk.starts != Some(id) && chunk.ends != Some(id));
         self.wire.stop(id);
         self.end_plain(now, id, end)
     }
@@ -174,7 +187,7 @@
         on_it.settles = Some(now + SETTLE);
         self.suspect |= self.heard_at <= on_it.sent_at;
         match self.wire.stop(id) {
-            Some(bytes) => self.outbox.push_back(Chunk { starts: None, bytes, done: 0 }),
+            Some(bytes) => self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 }),
             None => {
                 self.over = Some(End::Dropped);
                 events.extend(self.end_plain(now, id, End::Withdrawn));
@@ -192,7 +205,8 @@
 
     /// The bytes to write next.
     pub fn to_write(&self) -> Option<&[u8]> {
-        self.outbox.front().map(|chunk| &chunk.bytes[chunk.done..])
+        let held = |chunk: &&Chunk| chunk.ends.is_some() && self.held_until.is_some();
+        self.outbox.front().filter(|chunk| !held(chunk)).map(|chunk| &chunk.bytes[chunk.done..])
     }
 
     /// So many of them were written.
@@ -204,8 +218,17 @@
         {
             (on_it.reach, on_it.sent_at) = (Reach::Sent, now);
         }
-        if chunk.done >= chunk.bytes.len() {
-            self.outbox.pop_front();
+        if let Some(on_it) = chunk.ends.and_then(|id| self.on_it.get_mut(&id)) {
+            on_it.reach = Reach::Sent;
+        }
+        if chunk.done < chunk.bytes.len() {
+            return;
+        }
+        let started = self.outbox.pop_front().and_then(|chunk| chunk.starts);
+        // What follows is its end, if that is held back.
+        let held = self.outbox.front().and_then(|chunk| chunk.ends).filter(|id| started == Some(*id));
+        if let Some(on_it) = held.and_then(|id| self.on_it.get_mut(&id)) {
+            (on_it.reach, self.held_until) = (Reach::Begun, Some(now + HOLD));
         }
     }
 
@@ -224,7 +247,7 @@
 
     fn hear(&mut self, now: Micros, said: Vec<Said>, replies: Vec<u8>, events: &mut Vec<Event>) {
         if !replies.is_empty() {
-            self.outbox.push_back(Chunk { starts: None, bytes: replies, done: 0 });
+            self.outbox.push_back(Chunk { starts: None, ends: None, bytes: replies, done: 0 });
         }
         for said in said {
             match said {
@@ -242,6 +265,7 @@
 
     /// Whatever is due by now.
     pub fn due(&mut self, now: Micros, events: &mut Vec<Event>) {
+        self.held_until = self.held_until.filter(|at| *at > now);
         let settled = self.on_it.iter().filter(|(_, a)| a.settles.is_some_and(|at| at <= now));
         let settled: Vec<RequestId> = settled.map(|(id, _)| *id).collect();
         events.extend(settled.into_iter().filter_map(|id| self.end_plain(now, id, End::Withdrawn)));
--- a/src/manager/ends.rs
+++ b/src/manager/ends.rs
@@ -45,7 +45,10 @@
 pub enum Reach {
     /// Not a byte: it never ran.
     Unsent,
-    /// A byte or more: it may have run, whatever the connection did next.
+    /// Some of it, but not the end, which was held back: the engine never had it whole, so it never ran, unless the
+    /// end goes out yet.
+    Begun,
+    /// All of it, or no telling how much: it may have run, whatever the connection did next.
     Sent,
 }
 
@@ -63,10 +66,14 @@
         (End::Refused | End::ConnectTimeout | End::Unreachable, _) => OutcomeKind::ConnectFailed,
         (End::Drained, Reach::Unsent) => OutcomeKind::Full,
         (End::Overflow | End::Withdrawn | End::Deadline, Reach::Unsent) => OutcomeKind::Moot,
-        (End::Closed | End::Reset | End::Garbled | End::Silent, Reach::Unsent) => OutcomeKind::ConnectFailed,
-        (End::Idle | End::Dropped, Reach::Unsent) => OutcomeKind::ConnectFailed,
-        (End::Withdrawn, Reach::Sent) => OutcomeKind::Cancelled,
-        (End::Deadline, Reach::Sent) => OutcomeKind::Timeout,
+        (End::Closed | End::Reset | End::Garbled | End::Silent, Reach::Unsent | Reach::Begun) => {
+            OutcomeKind::ConnectFailed
+        }
+        (End::Idle | End::Dropped, Reach::Unsent | Reach::Begun) => OutcomeKind::ConnectFailed,
+        // The end that was held back follows, and the word that gives it up behind it.
+        (End::Withdrawn, Reach::Sent | Reach::Begun) => OutcomeKind::Cancelled,
+        (End::Deadline, Reach::Sent | Reach::Begun) => OutcomeKind::Timeout,
+        (End::Overflow | End::Drained, Reach::Begun) => OutcomeKind::Reset,
         (End::Overflow | End::Drained | End::Idle | End::Dropped, Reach::Sent) => OutcomeKind::Reset,
         (End::Closed | End::Reset | End::Garbled | End::Silent, Reach::Sent) => OutcomeKind::Reset,
     }
@@ -107,6 +114,12 @@
         let clears = |end: &End| never_ran(outcome(*end, Reach::Sent));
         let cleared: Vec<End> = ALL.into_iter().filter(clears).collect();
         assert_eq!(cleared, [End::Full, End::Past, End::Refused, End::ConnectTimeout, End::Unreachable]);
+        // With its end held back nothing can run, whatever breaks; but what this side gives up may still go out.
+        let breaks = [End::Closed, End::Reset, End::Garbled, End::Silent, End::Dropped];
+        assert!(breaks.into_iter().all(|end| never_ran(outcome(end, Reach::Begun))));
+        assert!(
+            [End::Withdrawn, End::Deadline].into_iter().all(|end| !never_ran(outcome(end, Reach::Begun)))
+        );
         let stuck: Vec<End> = ALL.into_iter().filter(|e| !never_ran(outcome(*e, Reach::Unsent))).collect();
         assert_eq!(stuck, [End::Done, End::Broke]);
     }
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -244,3 +244,32 @@
     link.due(9_000 * MS, &mut events);
     assert!(matches!(&events[..], [Event::Ended(e)] if e.end == End::Silent) && link.over().is_none());
 }
+
+/// Guards a load against a reset of its connection: until its last bytes go out, a moment later, it never ran.
+#[test]
+fn the_end_of_what_must_not_run_twice_is_held_back() {
+    for (waits, reach) in [(false, Reach::Begun), (true, Reach::Sent)] {
+        let mut link = Link::new(0, Platform::new(Rc::new(Names { streams: 4, ..Names::default() })));
+        let (key, statement, session) = ("k1".into(), Rc::from(&b"insert"[..]), None);
+        let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), ClassId(0), 9_000 * MS);
+        link.start(
+            0,
+            &Job { id, attempt, key, class, once: true, statement, session, until, memory_mb: 0.0 },
+        );
+        let head = link.to_write().expect("a head").to_vec();
+        assert!(head.ends_with(b" 6\r\ninser"), "{head:?}");
+        link.wrote(0, head.len());
+        assert!(link.to_write().is_none() && link.next_due() == Some(super::HOLD));
+        let mut events = Vec::new();
+        if waits {
+            link.due(super::HOLD, &mut events);
+            assert_eq!(link.to_write(), Some(&b"t\r\n"[..]));
+            link.wrote(super::HOLD, 3);
+        }
+        link.close(9 * MS, End::Reset, &mut events);
+        assert!(
+            matches!(&events[..], [Event::Ended(e)] if e.end == End::Reset && e.reach == reach),
+            "{events:?}"
+        );
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -35,6 +35,11 @@
     play(include_str!("../rehearsals/faults.txt"));
 }
 
+#[test]
+fn what_the_days_of_service_bring() {
+    play(include_str!("../rehearsals/service.txt"));
+}
+
 /// Guards rule 2: an error, a reset or half an answer may come after the load began.
 #[test]
 fn a_load_that_may_have_run_fails_and_is_not_sent_again() {
