--- a/src/decide.rs
+++ b/src/decide.rs
@@ -925,8 +925,8 @@
             e.entry = *entry;
         }
         self.fleet.ready = self.engines.values().filter(|e| e.ready()).map(|e| e.entry.id).collect();
-        // What is gone is not asked for again, unless an attempt there still counts: memory must not grow with
-        // every engine that was ever replaced.
+        // What is gone is not asked for again, unless an attempt there still counts: memory must not grow
+        // with every engine that was ever replaced.
         let out = |r: &Request| r.out.as_ref().map(|o| o.engine).into_iter().chain(r.ran_on.map(|(e, _)| e));
         let needed: BTreeSet<EngineId> = self.requests.values().flat_map(out).collect();
         let stays = |e: &Engine| e.entry.readiness != Readiness::Gone || needed.contains(&e.entry.id);
