Keep queries off engines where a load is seen to hold their data

Checked by a trace of every second's bounds, held, sent and refused queries and of each look-up's end: - Not the cause: cold limits (all engines count as warm), the law (bounds stay at their start), the coordinator's move, the sockets. One engine did fail fast from 1.3 to 20 s and was rightly ejected. - Of the look-ups with an own load on their data and engine 79% ended late or withdrawn; of those beside another own look-up that waited there over its data about 90%; of all others a tenth. Three in four slow ones were of these kinds. They keep threads, and their waits pass for slowness of engines. - A time-out counted as a failure of an engine that answered others meanwhile: 902, 779 and 328, all healthy, were ejected for 1.5 to 6 s in a full hour.

At fault: cost() put a price on held data, which decides nothing when only one engine has room (choose()); nothing was learnt from look-ups that stand still for loads of other gateways; judge() took `lived` from the attempt alone.

Now choose() passes over engines where the data is held while any other would do; find_standing() marks data for 0.5 s where a look-up is three times past its time and its engine answers others; judge() counts a time-out only without a sign of life since the send.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,8 @@
 const SILENT_TIMES: f64 = 3.0; // Silence: attempts this many times past their expected time...
 const SILENT_LEAST: Nanos = 1_200_000_000; // ...and this old, with no sign of life of the engine since.
 const SILENT_NOTES: f64 = 1.5; // An attempt is lost without so many notes that were due: it runs no more.
+const STANDS_LEAST: Nanos = 200_000_000; // A query is taken to stand still for a load no sooner than this...
+const STANDS: Nanos = 500_000_000; // ...and others on its data there to do so for so long after it was seen.
 const STALL: Nanos = 3 * SWEEP_EVERY; // A gateway that had no turn for so long stood still itself.
 const SILENT_COUNT: usize = 2; // How many such attempts make an engine silent.
 const TAIL: f64 = 0.05; // Part of a class's answers that take longer than its tail, in expected times...
@@ -516,6 +518,14 @@
         (full / self.fleet.crowd.max(0.1)).clamp(1.0, SPARE_MOST)
     }
 
+    /// Whether it would stand still there for a load that holds its data: an own one, or one that others of
+    /// this gateway were seen or told to wait for.
+    fn stands(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
+        let (c, group) = (self.class(r), &r.ask.group);
+        let seen = || e.stood_still.get(group).is_some_and(|until| *until > now);
+        (c.is_load || c.waits_for_loads) && (e.held_groups.contains_key(group) || seen())
+    }
+
     /// Lower is better: threads in use under the bound, scaled by slowness against peers.
     fn cost(&self, now: Nanos, r: &Request, e: &Engine) -> f64 {
         let (c, k) = (self.class(r), self.threads(r));
@@ -524,10 +534,8 @@
         let thin = self.thin(e, k);
         let (load, limit) =
             if thin { (self.load(now, e), whole) } else { (e.running.threads, whole / self.sharers) };
-        let seen = e.stood_still.get(&r.ask.group).is_some_and(|until| *until > now);
-        let blocked = (c.is_load || c.waits_for_loads) && (seen || e.held_groups.contains_key(&r.ask.group));
         let on = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
-        let data = on(blocked, GROUP_HELD);
+        let data = on(self.stands(now, r, e), GROUP_HELD);
         let place = on(self.s.crossing_costs && e.entry.zone != self.s.zone, CROSS);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
         (load + k) / limit.max(0.5) * slow + data + place + past
@@ -563,6 +571,10 @@
             Health::HalfOpen(Some(_)) | Health::Open(_) => !any_closed,
         };
         let fits = some.iter().filter_map(|id| self.engines.get(id)).filter(mine).filter(healthy);
+        // Where its data is held it would wait and keep a thread from others: rather for room elsewhere.
+        let free = |e: &&Engine| !self.stands(now, r, e);
+        let any_free = fits.clone().any(|e| free(&e));
+        let fits = fits.filter(|e| !any_free || free(e));
         let fits = fits.filter(|e| self.has_room(now, r, e) && self.gate(now, id, r, e));
         let priced = fits.map(|e| (self.cost(now, r, e), e.entry.id));
         priced.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, e)| e)
@@ -737,7 +749,7 @@
             self.learn(&ask, o, &out);
         }
         self.on_report(now, out.engine, &o.load);
-        self.judge(now, o, out.life_at > out.sent);
+        self.judge(now, o, &out);
         if let Some(k) = ask.key.and_then(|k| self.keys.get_mut(&k))
             && matches!(o.kind, OutcomeKind::Timeout | OutcomeKind::Reset | OutcomeKind::Cancelled)
         {
@@ -754,6 +766,9 @@
         let (took, l) = (secs(o.latency), &mut self.learned[class]);
         let work = o.work.map_or(ask.work_hint.map_or(l.work, |h| secs(h) * l.bias), secs);
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
+        if self.s.classes[class].waits_for_loads {
+            e.stood_still.remove(&ask.group);
+        }
         e.window.finished += 1.0;
         e.window.samples += 1.0;
         e.window.lateness += (took / aim(&self.s.classes[class], work)).min(CLIP);
@@ -795,15 +810,18 @@
 
     /// Outlier ejection: fast failures, resets, failed connects, time-outs without life. Fast errors would
     /// else look like free threads. Could harm where the queries are at fault, hence the look at peers.
-    fn judge(&mut self, now: Nanos, o: &Outcome, lived: bool) {
+    fn judge(&mut self, now: Nanos, o: &Outcome, out: &Out) {
         let may_eject = self.may_eject(o.engine);
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = e.health == Health::HalfOpen(Some(o.id));
         let failed = match o.kind {
             OutcomeKind::Error | OutcomeKind::ConnectFailed | OutcomeKind::Reset => true,
             OutcomeKind::Ok | OutcomeKind::Full => false,
-            OutcomeKind::Timeout => !lived,
-            OutcomeKind::Cancelled | OutcomeKind::Moot => {
+            // Nothing since from its engine, neither on this attempt nor on another. Guards against ejecting
+            // the busiest: of what waits long in a full line much runs out of time, and what is left to the
+            // others then fills theirs.
+            OutcomeKind::Timeout if out.life_at.max(e.life_at) <= out.sent => true,
+            OutcomeKind::Timeout | OutcomeKind::Cancelled | OutcomeKind::Moot => {
                 e.health = if trial { Health::HalfOpen(None) } else { e.health };
                 return;
             }
@@ -1011,11 +1029,29 @@
         (self.told_at, self.beats) = (now, 0.0);
     }
 
+    /// Far past its time where others get on, a query that waits for loads most likely stands still for one
+    /// of another gateway: others on that data keep off, until one of them gets through or this one is over.
+    fn find_standing(&mut self, now: Nanos) {
+        let usual = SILENT_TIMES * self.fleet.median_stretch.max(1.0);
+        for r in self.requests.values() {
+            let Some(o) =
+                r.out.as_ref().filter(|_| self.s.classes[usize::from(r.ask.class.0)].waits_for_loads)
+            else {
+                continue;
+            };
+            let late = secs(now.saturating_sub(o.sent)) > (usual * o.alone).max(secs(STANDS_LEAST));
+            if let Some(e) = self.engines.get_mut(&o.engine).filter(|e| late && e.life_at > o.sent) {
+                e.stood_still.insert(r.ask.group, now + STANDS);
+            }
+        }
+    }
+
     /// Answers get lost, links lose messages, engines swallow work: all look like an attempt past the tail of
     /// its class, or without the notes that were due. It holds no room any more, and a safe one is tried
     /// anew, from the stock of cancels, which gets back what paid off. Attempts far past their time with no
     /// sign of life of their engine since eject it. Harm: far underestimated queries run in vain.
     fn find_silent(&mut self, now: Nanos, acts: &mut Vec<Action>) {
+        self.find_standing(now);
         let due = nanos(SILENT_NOTES * secs(self.s.note_period));
         let noted = if due > 0 { due } else { Nanos::MAX / 2 };
         let lost = |r: &Request| {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -558,3 +558,80 @@
         assert_ne!(sends(&rig.tell(Event::Request(look_up(id, rig.now))))[0].1, held);
     }
 }
+
+/// Guards against threads that look-ups keep while they stand still: under load, room opens where the data is held.
+#[test]
+fn a_query_waits_for_room_elsewhere_rather_than_for_a_load() {
+    let mut s = settings();
+    s.classes[0].waits_for_loads = true;
+    let mut rig = Rig::new(s, two());
+    let look_up = |id, group, now| NewRequest { group, ..ask(id, 0, now, 6 * S, 200 * MS) };
+    let load = NewRequest { group: 7, ..ask(1, 2, rig.now, 20 * S, 2 * S) };
+    let held = sends(&rig.tell(Event::Request(load)))[0].1;
+    let mut sent = Vec::new();
+    for id in 100..200 {
+        sent.extend(sends(&rig.tell(Event::Request(look_up(id, u64::from(id), rig.now)))));
+    }
+    assert!(sent.len() < 100, "both are full");
+    (100..200).filter(|id| !sent.iter().any(|(s, _)| s == id)).for_each(|id| {
+        rig.tell(Event::ClientGone(RequestId(id)));
+    });
+    let on = |id: u32, engine| outcome(id, 0, engine, OutcomeKind::Ok, 200 * MS);
+    let there = sent.iter().filter(|(_, e)| *e == held).take(3);
+    there.for_each(|(id, engine)| drop(rig.tell(on(*id, *engine))));
+    assert!(sends(&rig.tell(Event::Request(look_up(2, 7, rig.now)))).is_empty());
+    assert_eq!(sends(&rig.tell(Event::Request(look_up(3, 8, rig.now)))), vec![(3, held)]);
+    // With the load it may go there.
+    assert!(sends(&rig.tell(on(1, held))).contains(&(2, held)));
+}
+
+/// Guards against loads of other gateways, which nobody tells of.
+#[test]
+fn a_query_that_takes_long_where_others_get_on_keeps_those_on_its_data_off() {
+    let mut s = settings();
+    (s.classes[0].waits_for_loads, s.note_period) = (true, 0);
+    let mut rig = Rig::new(s, two());
+    let mut ask_for = |rig: &mut Rig, id, group| {
+        let ask = NewRequest { group, ..ask(id, 0, rig.now, 6 * S, 200 * MS) };
+        sends(&rig.tell(Event::Request(ask)))[0].1
+    };
+    let stands = ask_for(&mut rig, 1, 7);
+    rig.pass(300 * MS);
+    let lively = (2..10).find(|id| ask_for(&mut rig, *id, 8) == stands).expect("a free one goes there too");
+    rig.tell(outcome(lively, 0, stands, OutcomeKind::Ok, 100 * MS));
+    rig.pass(400 * MS);
+    for id in 10..14 {
+        assert_ne!(ask_for(&mut rig, id, 7), stands);
+    }
+    // Once it got through its data is free.
+    rig.tell(outcome(1, 0, stands, OutcomeKind::Ok, 720 * MS));
+    assert!((14..20).any(|id| ask_for(&mut rig, id, 7) == stands));
+}
+
+/// Guards against ejecting the busiest engine, whose work then fills the others: time-outs of what waits in a
+/// full line are no failures of an engine that answers meanwhile.
+#[test]
+fn an_engine_that_answers_is_not_ejected_for_what_runs_out_of_time() {
+    for (answers, expected) in [(true, true), (false, false)] {
+        let mut rig = Rig::new(settings(), (1..=4).map(|i| entry(i, 0, 0)).collect());
+        let mut to = Vec::new();
+        for id in 0..32 {
+            to.extend(sends(&rig.tell(Event::Request(ask(id, 3, rig.now, 6 * S, 100 * MS)))));
+        }
+        let mut on_one: Vec<u32> = to.iter().filter(|(_, e)| *e == EngineId(1)).map(|(id, _)| *id).collect();
+        rig.now += S;
+        let last = on_one.pop().expect("some went there");
+        if answers {
+            rig.tell(outcome(last, 0, EngineId(1), OutcomeKind::Ok, S));
+        }
+        rig.now += 5 * S;
+        for id in on_one {
+            rig.tell(outcome(id, 0, EngineId(1), OutcomeKind::Timeout, 6 * S));
+        }
+        let used = (100..140).any(|id| {
+            let acts = rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 100 * MS)));
+            sends(&acts).iter().any(|(_, e)| *e == EngineId(1))
+        });
+        assert_eq!(used, expected);
+    }
+}
