--- a/src/decide.rs
+++ b/src/decide.rs
@@ -528,7 +528,7 @@
 
     /// Lower is better: threads in use under the bound, scaled by slowness against peers.
     fn cost(&self, now: Nanos, r: &Request, e: &Engine) -> f64 {
-        let (c, k) = (self.class(r), self.threads(r));
+        let k = self.threads(r);
         let slow = (e.stretch / self.fleet.median_stretch.max(0.1)).max(0.7);
         let whole = e.bound * e.warmth(now, &self.s.rules);
         let thin = self.thin(e, k);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -591,7 +591,7 @@
     let mut s = settings();
     (s.classes[0].waits_for_loads, s.note_period) = (true, 0);
     let mut rig = Rig::new(s, two());
-    let mut ask_for = |rig: &mut Rig, id, group| {
+    let ask_for = |rig: &mut Rig, id, group| {
         let ask = NewRequest { group, ..ask(id, 0, rig.now, 6 * S, 200 * MS) };
         sends(&rig.tell(Event::Request(ask)))[0].1
     };
