--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1031,17 +1031,34 @@
 
     /// Far past its time where others get on, a query that waits for loads most likely stands still for one
     /// of another gateway: others on that data keep off, until one of them gets through or this one is over.
-    fn find_standing(&mut self, now: Nanos) {
+    fn find_standing(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         let usual = SILENT_TIMES * self.fleet.median_stretch.max(1.0);
-        for r in self.requests.values() {
-            let Some(o) =
-                r.out.as_ref().filter(|_| self.s.classes[usize::from(r.ask.class.0)].waits_for_loads)
-            else {
+        let mut found = Vec::new();
+        for r in self.requests.values().filter(|r| self.class(r).waits_for_loads) {
+            let Some(o) = r.out.as_ref().filter(|o| !o.cancelling) else { continue };
+            let late = secs(now.saturating_sub(o.sent)) > (usual * o.alone).max(secs(STANDS_LEAST));
+            if late && self.engines.get(&o.engine).is_some_and(|e| e.life_at > o.sent) {
+                found.push((r.ask.id, r.ask.group, o.engine));
+            }
+        }
+        for &(_, group, engine) in &found {
+            if let Some(e) = self.engines.get_mut(&engine) {
+                e.stood_still.insert(group, now + STANDS);
+            }
+        }
+        for (id, _, _) in found {
+            let r = &self.requests[&id];
+            let in_time = now + nanos(self.alone(r)) < self.useful_end(r);
+            if self.cancels < 1.0 || !in_time || !self.may_try_again(now, r) {
                 continue;
+            }
+            let free = |e: &Engine| {
+                let usable = e.ready() && e.health == Health::Closed && placed(self.class(r), &e.entry);
+                usable && !self.stands(now, r, e) && self.has_room(now, r, e)
             };
-            let late = secs(now.saturating_sub(o.sent)) > (usual * o.alone).max(secs(STANDS_LEAST));
-            if let Some(e) = self.engines.get_mut(&o.engine).filter(|e| late && e.life_at > o.sent) {
-                e.stood_still.insert(r.ask.group, now + STANDS);
+            if self.fleet.ready.iter().filter_map(|id| self.engines.get(id)).any(free) {
+                self.cancels -= 1.0;
+                self.withdraw(id, acts);
             }
         }
     }
@@ -1051,7 +1068,7 @@
     /// anew, from the stock of cancels, which gets back what paid off. Attempts far past their time with no
     /// sign of life of their engine since eject it. Harm: far underestimated queries run in vain.
     fn find_silent(&mut self, now: Nanos, acts: &mut Vec<Action>) {
-        self.find_standing(now);
+        self.find_standing(now, acts);
         let due = nanos(SILENT_NOTES * secs(self.s.note_period));
         let noted = if due > 0 { due } else { Nanos::MAX / 2 };
         let lost = |r: &Request| {
