--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,7 +50,7 @@
 const STALL: Nanos = 3 * SWEEP_EVERY; // A gateway that had no turn for so long stood still itself.
 const SILENT_COUNT: usize = 2; // How many such attempts make an engine silent.
 const TAIL: f64 = 0.05; // Part of a class's answers that take longer than its tail, in expected times...
-const TAIL_FIRST: f64 = 4.0; // ...which is taken to be this before answers teach it.
+const TAIL_FIRST: f64 = 4.0; // ...which is this at first and never less: what is sent anew runs twice.
 const TAIL_STEP: f64 = 0.2; // Weight of one answer in it: a fifth up, a hundredth down.
 const BAD_PLAN: f64 = 1.5; // A plan is bad if its progress points to this many times the tail.
 const CANCEL_SHARE: f64 = 0.1; // Cancels per query taken: engines slow as a whole must cause no storm.
@@ -787,7 +787,7 @@
         // settles where the stated part lies beyond. Estimates, crowding, spills and lines are all in it.
         let beyond = took > l.tail * out.alone;
         l.tail *= 1.0 + TAIL_STEP * (f64::from(u8::from(beyond)) - TAIL);
-        l.tail = l.tail.clamp(1.0, 1.0 / TAIL);
+        l.tail = l.tail.clamp(TAIL_FIRST, 1.0 / TAIL);
         l.work += weight * (sample.min(l.work * 10.0) - l.work);
         if let (Some(h), Some(_)) = (ask.work_hint, o.work) {
             l.bias += weight * ((sample / secs(h).max(1e-4)).clamp(0.1, 10.0) - l.bias);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -635,3 +635,37 @@
         assert_eq!(used, expected);
     }
 }
+
+/// Guards against sending anew what is merely slower than usual, all of which then runs twice.
+#[test]
+fn a_class_that_answers_fast_is_still_given_four_times_its_time() {
+    let mut s = settings();
+    s.note_period = 0;
+    let mut rig = Rig::new(s, two());
+    for id in 0..200 {
+        let to = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))))[0].1;
+        rig.pass(20 * MS);
+        rig.tell(outcome(id, 0, to, OutcomeKind::Ok, 200 * MS));
+    }
+    rig.tell(Event::Request(ask(999, 0, rig.now, 6 * S, 200 * MS)));
+    assert_eq!(cancels(&rig.pass(780 * MS)), 0);
+    assert_eq!(cancels(&rig.pass(200 * MS)), 1);
+}
+
+/// Guards against waiting to the end for a load of another gateway, while other engines are free.
+#[test]
+fn a_query_that_stands_still_goes_where_its_data_is_free() {
+    let mut s = settings();
+    (s.classes[0].waits_for_loads, s.note_period) = (true, 0);
+    let mut rig = Rig::new(s, two());
+    let stands = sends(&rig.tell(Event::Request(ask(1, 0, rig.now, 6 * S, 200 * MS))))[0].1;
+    rig.pass(300 * MS);
+    let other = |id| NewRequest { group: 8, ..ask(id, 0, T0, 6 * S, 200 * MS) };
+    let to: Vec<_> = (2..10).map(|id| sends(&rig.tell(Event::Request(other(id))))[0]).collect();
+    assert!(to.iter().any(|(_, e)| *e == stands), "others get on there");
+    to.iter().for_each(|(id, e)| drop(rig.tell(outcome(*id, 0, *e, OutcomeKind::Ok, 100 * MS))));
+    assert_eq!(cancels(&rig.pass(280 * MS)), 0, "within three times its time");
+    assert_eq!(cancels(&rig.pass(100 * MS)), 1);
+    let again = sends(&rig.tell(outcome(1, 0, stands, OutcomeKind::Cancelled, 680 * MS)));
+    assert!(again.len() == 1 && again[0].1 != stands, "{again:?}");
+}
