--- a/src/decide.rs
+++ b/src/decide.rs
@@ -787,7 +787,7 @@
         // settles where the stated part lies beyond. Estimates, crowding, spills and lines are all in it.
         let beyond = took > l.tail * out.alone;
         l.tail *= 1.0 + TAIL_STEP * (f64::from(u8::from(beyond)) - TAIL);
-        l.tail = l.tail.clamp(TAIL_FIRST, 1.0 / TAIL);
+        l.tail = l.tail.clamp(1.0, 1.0 / TAIL);
         l.work += weight * (sample.min(l.work * 10.0) - l.work);
         if let (Some(h), Some(_)) = (ask.work_hint, o.work) {
             l.bias += weight * ((sample / secs(h).max(1e-4)).clamp(0.1, 10.0) - l.bias);
@@ -1071,11 +1071,14 @@
         self.find_standing(now, acts);
         let due = nanos(SILENT_NOTES * secs(self.s.note_period));
         let noted = if due > 0 { due } else { Nanos::MAX / 2 };
+        // What is sent anew runs twice: soon where much room is free, later where it takes that of others.
+        let idle = self.fleet.mean.threads <= USUAL_BUSY * self.fleet.bound / self.sharers;
+        let least = if idle { 1.0 } else { TAIL_FIRST };
         let lost = |r: &Request| {
             let o = r.out.as_ref().filter(|o| !o.cancelling)?;
             // Where nothing can be cancelled the engine may well work on it for longer still.
             let times = if self.s.limits.may_cancel { 1.0 } else { SILENT_TIMES };
-            let tail = nanos(times * self.learned(r).tail * o.alone).max(STALL);
+            let tail = nanos(times * self.learned(r).tail.max(least) * o.alone).max(STALL);
             let limit = if o.life_at > o.sent { noted } else { tail.min(noted) };
             let age = now.saturating_sub(o.life_at);
             let silent = age > nanos(SILENT_TIMES * o.expected).min(2 * noted).max(SILENT_LEAST);
