Ask no engine for its load where the settings make probes dear

Besides, 96% of queries were held for their probes, and `load` takes an engine that told nothing of late for full, so under load most engines were not considered.

Change: `prices.probe` is read from the settings; above PROBE_DEAR the module neither asks nor waits, and takes an engine that told nothing for as busy as those that told.

Lines at fault: `probe` and `load` in src/decide.rs, which knew no price.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,6 +30,7 @@
 const FRESH: Nanos = 250_000_000; // A report younger than this needs no probe...
 const NEWS: Nanos = 1_000_000_000; // ...and one older than this tells nothing.
 const PROBES: usize = 1; // Engines probed for a query whose share of an engine is under one.
+const PROBE_DEAR: f64 = 0.03; // Price of a probe, in parts of a usual query, that a choice is not worth.
 const PROBE_WAIT: Nanos = 30_000_000; // Longest wait of a query for its probes.
 const PUMP_MOST: usize = 32; // Held queries tried at one outcome: its cost must not grow with the queue.
 const BEATS_MOST: u32 = 8; // Peers that hear a beat, at random: to all, the price grows with the square.
@@ -260,7 +261,7 @@
         match e.report {
             Some((at, threads)) if now.saturating_sub(at) < NEWS => threads + e.since,
             Some(_) | None if self.fleet.recent.is_empty() || e.warmth(now, &self.s.rules) < 1.0 => e.since,
-            Some(_) | None if self.s.limits.may_probe => f64::INFINITY,
+            Some(_) | None if self.asks() => f64::INFINITY,
             Some(_) | None => self.fleet.crowd * e.cores + e.since,
         }
     }
@@ -352,11 +353,17 @@
         }
     }
 
+    /// Whether engines are asked for their load. Where a probe is dear, all gateways' probes together cost more
+    /// than what they tell is worth, and blind choice among many engines loses little.
+    fn asks(&self) -> bool {
+        self.s.limits.may_probe && self.s.probe_price <= PROBE_DEAR
+    }
+
     /// Where own answers tell too little, a few engines at random are asked for their load: a choice among a
     /// few known loads is worth the price of the probes and the wait of a round trip.
     fn probe(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
         let some = self.candidates();
-        let Some(r) = self.requests.get(&id).filter(|_| self.s.limits.may_probe) else { return };
+        let Some(r) = self.requests.get(&id).filter(|_| self.asks()) else { return };
         // Where one that counts its queries is known to be half empty and would take this one, a probe would
         // tell nothing of worth. One that may not be sent to, cold or without a turn, is no reason not to.
         let (class, threads) = (self.class(r), self.threads(r));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,8 @@
     pub load_fields: Vec<LoadField>,
     /// Attempts that cross zones cost something.
     pub crossing_costs: bool,
+    /// What one probe a query costs, in parts of the whole worth.
+    pub probe_price: f64,
     /// The memory asked for is heeded.
     pub grants_heeded: bool,
     /// Priorities are heeded.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,6 +56,7 @@
 #[serde(default)]
 struct Prices {
     cross_zone: f64,
+    probe: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -174,6 +175,7 @@
         ask_for_list: w.discovery == "ask",
         load_fields: w.load_info.fields.iter().map(|f| load_field(f)).collect(),
         crossing_costs: w.prices.cross_zone > 0.0,
+        probe_price: w.prices.probe,
         grants_heeded: w.extra.takes_grants,
         priorities_heeded: w.extra.ranks_heeded,
         most_grant: w.extra.most_grant,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -51,6 +51,23 @@
     }
 }
 
+/// Guards against the price of probes, which a hundred gateways pay at every query: where it is dear, queries go
+/// out at once and unasked, and an engine that was never heard of does not pass for full.
+#[test]
+fn where_a_probe_is_dear_no_engine_is_asked_and_no_query_waits() {
+    let engines: Vec<EngineEntry> = (1..=60).map(|i| entry(i, 0, 0)).collect();
+    let mut rig = one_of(7, Settings { probe_price: 0.08, ..many() }, engines);
+    rig.pass(3 * S);
+    for id in 0..40 {
+        let mut acts = rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS)));
+        assert_eq!(sends(&acts).len(), 1, "query {id}");
+        acts.extend(rig.pass(500 * MS));
+        assert!(!acts.iter().any(|a| matches!(a, Action::Probe { .. })));
+        let engine = sends(&acts)[0].1;
+        rig.tell(outcome(id, 0, engine, OutcomeKind::Ok, 250 * MS));
+    }
+}
+
 #[test]
 fn under_pressure_as_many_gateways_are_let_in_as_the_whole_bound_holds() {
     // An engine of 8 cores reports its start bound of 16 threads in use; each of 300 gateways has one short query.
--- a/tests/inside/law.rs
+++ b/tests/inside/law.rs
@@ -53,6 +53,7 @@
         ask_for_list: false,
         load_fields: vec![],
         crossing_costs: false,
+        probe_price: 0.01,
         grants_heeded: false,
         priorities_heeded: false,
         most_grant: 0.4,
