Take a new engine for as slow as the rest of the fleet

Cause: `Engine::new` set the stretch to 1.0 while a shared slowness had all others at 1.5 to 2.5, and `cost` gives an engine faster than its peers up to 0.7 of its price. Alone that is harmless; here 100 gateways with little running tie everywhere else and all choose the newcomer.

Change: the stretch of a new or restarted engine starts at the median of the fleet.

Ruled out: the warmth (`started_ms` is told and heeded), and turns (each gateway has others).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -104,11 +104,11 @@
 }
 
 impl Engine {
-    fn new(now: Nanos, entry: EngineEntry, s: &Settings) -> Engine {
+    fn new(now: Nanos, entry: EngineEntry, s: &Settings, stretch: f64) -> Engine {
         let cores = s.kinds.get(usize::from(entry.kind.0)).map_or(1.0, |k| k.cores).max(1.0);
         let start = START_THREADS_PER_CORE * cores;
         let times = Engine { counted_at: now, life_at: now, ..Engine::default() };
-        Engine { entry, cores, start, bound: start, stretch: 1.0, ..times }
+        Engine { entry, cores, start, bound: start, stretch, ..times }
     }
 
     /// Share of usual capacity that a started engine surely has: the start share, then a late-rising curve.
@@ -939,11 +939,12 @@
             }
         }
         for entry in entries {
-            let s = &self.s;
-            let e = self.engines.entry(entry.id).or_insert_with(|| Engine::new(now, *entry, s));
+            // No faster and no slower than the rest: else, as the rest slows, all gateways take the new one.
+            let (s, usual) = (&self.s, self.fleet.median_stretch);
+            let e = self.engines.entry(entry.id).or_insert_with(|| Engine::new(now, *entry, s, usual));
             if e.entry.ready_at != entry.ready_at {
                 // A restart under the same id: a cold engine without history, but attempts out still count.
-                let fresh = Engine::new(now, *entry, s);
+                let fresh = Engine::new(now, *entry, s, usual);
                 let old = std::mem::replace(e, fresh);
                 (e.running, e.held_groups) = (old.running, old.held_groups);
             }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -68,6 +68,32 @@
     }
 }
 
+/// Guards against the herd to what is new: as the rest slowed together, an engine that had shown nothing yet looked
+/// the fastest to all gateways at once, and got four times its part while it was cold.
+#[test]
+fn a_new_engine_gets_its_part_where_all_others_have_slowed() {
+    let engines: Vec<EngineEntry> = (1..=20).map(|i| entry(i, 0, 0)).collect();
+    let mut on_new = 0;
+    for me in 0..60 {
+        let settings = Settings { probe_price: 0.08, gateways: 100, ..settings() };
+        let mut rig = one_of(me, settings, engines.clone());
+        for id in 0..60 {
+            let sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            rig.pass(100 * MS);
+            rig.tell(outcome(id, 0, sent[0].1, OutcomeKind::Ok, 360 * MS));
+        }
+        rig.tell(Event::List { kind: ListKind::Changes, entries: vec![entry(21, 0, 0)] });
+        for id in 60..63 {
+            let sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            on_new += usize::from(sent[0].1 == EngineId(21));
+            rig.pass(100 * MS);
+            rig.tell(outcome(id, 0, sent[0].1, OutcomeKind::Ok, 360 * MS));
+        }
+    }
+    // Nine of 180 would be its even part.
+    assert!(on_new <= 27, "{on_new} of 180 queries went to one new engine of 21");
+}
+
 #[test]
 fn under_pressure_as_many_gateways_are_let_in_as_the_whole_bound_holds() {
     // An engine of 8 cores reports its start bound of 16 threads in use; each of 300 gateways has one short query.
