Keep each gateway to few engines where it can't ask; little room for late queries

A late look-up earns a tenth, and slows all beside it.

Change, for a gateway that asks no engine (dear probes): it prefers eight engines, an arc of the ring of ready ones that is even over gateways, until others cost 0.2 of a bound less; and what misses its aim anyway may fill a quarter of its share. It is not refused for that: idle room still serves it.

Lines at fault: `candidates`, `cost` and `has_room` in src/decide.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,9 @@
 const TURN: Nanos = 500_000_000; // Length of a turn of gateways whose share is under one query.
 const COLD_SLOTS: u64 = 4; // Turns on a cold engine in a fall window: a window cuts one more than these.
 const CANDIDATES: usize = 12; // Engines compared for a query: all of a small fleet, few of a large one.
+const NEAR: usize = 8; // Engines that a gateway prefers where it can't ask: fewer handshakes, more news...
+const FAR: f64 = 0.2; // ...until others cost less by so much of a full bound.
+const LATE_PART: f64 = 0.25; // Part of a gateway's share that queries may fill which miss their aim anyway.
 const FRESH: Nanos = 250_000_000; // A report younger than this needs no probe...
 const NEWS: Nanos = 1_000_000_000; // ...and one older than this tells nothing.
 const PROBES: usize = 1; // Engines probed for a query whose share of an engine is under one.
@@ -291,9 +294,8 @@
         self.fleet.recent.truncate(CANDIDATES / 2);
     }
 
-    /// A jammed engine may report idle cores, as its queries wait for disks; how long a probe took tells. Its
-    /// delay beyond the best seen, against that of its peers, raises the report. An engine that does not even
-    /// answer is full or worse. Harms where probes are lost to the network alone.
+    /// A jammed engine may report idle cores, as its queries wait for disks: the delay of its probe beyond
+    /// the best seen, against its peers, raises the report. One that does not answer is full or worse.
     fn on_probe(&mut self, now: Nanos, engine: EngineId, kind: OutcomeKind, took: f64) {
         let f = &mut self.fleet;
         f.probes_out = f.probes_out.saturating_sub(1);
@@ -307,7 +309,6 @@
         let told = e.report.map_or(0.0, |(_, threads)| threads);
         let full = match kind {
             OutcomeKind::Ok => (slow / JAM).powi(2),
-            // Nobody there: as sure as a query would find, and it costs no query.
             OutcomeKind::ConnectFailed => f64::INFINITY,
             OutcomeKind::Error | OutcomeKind::Full | OutcomeKind::Timeout => SURGE,
             OutcomeKind::Reset | OutcomeKind::Cancelled | OutcomeKind::Moot => SURGE,
@@ -353,14 +354,12 @@
         }
     }
 
-    /// Whether engines are asked for their load. Where a probe is dear, all gateways' probes together cost more
-    /// than what they tell is worth, and blind choice among many engines loses little.
+    /// Whether engines are asked for their load: not where all probes together cost more than they help.
     fn asks(&self) -> bool {
         self.s.limits.may_probe && self.s.probe_price <= PROBE_DEAR
     }
 
-    /// Where own answers tell too little, a few engines at random are asked for their load: a choice among a
-    /// few known loads is worth the price of the probes and the wait of a round trip.
+    /// Where own answers tell too little, a few engines at random are asked for their load.
     fn probe(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
         let some = self.candidates();
         let Some(r) = self.requests.get(&id).filter(|_| self.asks()) else { return };
@@ -400,11 +399,20 @@
         if n <= CANDIDATES {
             return f.ready.iter().cycle().skip(any % n).take(f.ready.len()).copied().collect();
         }
+        if !self.asks() {
+            let others = [any / NEAR, any / NEAR + n / 2].map(|at| f.ready[at % n]);
+            return self.near(any).chain(others).collect();
+        }
         let known = f.turns.iter().take(CANDIDATES / 2).chain(&f.recent);
         let others = (0..CANDIDATES / 2).map(|i| &f.ready[(any % n + i * (n / CANDIDATES)) % n]);
         known.chain(others).copied().collect()
     }
 
+    /// The engines that a gateway prefers, from some place among them.
+    fn near(&self, place: usize) -> impl Iterator<Item = EngineId> {
+        self.fleet.arc(self.s.me as usize, self.s.gateways.max(1) as usize, NEAR, place)
+    }
+
     /// The gate of every send: one out, time left, drain, placement, cold, attempts, effects, key turn.
     fn gate(&self, now: Nanos, id: RequestId, r: &Request, e: &Engine) -> bool {
         let open = !r.done && now + nanos(DOUBT * self.alone(r)) < r.ask.give_up_at && r.out.is_none();
@@ -499,7 +507,9 @@
         // Exception: a share under one query. All engines' shares together bound own threads; reports tell
         // where room is; under pressure a turn lets in as many gateways as the whole bound holds queries.
         let pressed = self.pressed(now, self.fleet.stretch);
-        let share = self.fleet.bound / self.sharers * self.spare(pressed);
+        // What misses its aim anyway earns little: it may fill idle room, not slow what can still be in time.
+        let part = if self.asks() || self.in_aim(now, r) { 1.0 } else { LATE_PART };
+        let share = self.fleet.bound / self.sharers * self.spare(pressed) * part;
         // A share of a few queries is kept in the mean over a period, like Ne of the law: held to it at every
         // moment, whole queries would leave a good part of it unused. At a moment it may be twice as much,
         // and a gateway with nothing out may send one.
@@ -544,19 +554,23 @@
         let on = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
         let data = on(self.stands(now, r, e), GROUP_HELD);
         let place = on(self.s.crossing_costs && e.entry.zone != self.s.zone, CROSS);
+        let far = on(thin && !self.asks() && !self.near(0).any(|id| id == e.entry.id), FAR);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
-        (load + k) / limit.max(0.5) * slow + data + place + past
+        (load + k) / limit.max(0.5) * slow + data + place + far + past
+    }
+
+    /// Whether it may be in time. Most queries are smaller than the mean, and so are the aims to be missed.
+    fn in_aim(&self, now: Nanos, r: &Request) -> bool {
+        let small = DOUBT * self.work(r);
+        let runs = small / self.threads(r) * self.fleet.median_stretch.max(1.0);
+        now + nanos(runs) <= r.arrived + nanos(aim(self.class(r), small))
     }
 
     /// Worth per second of work, less where late or beyond the tenant's share.
     fn rank(&self, now: Nanos, r: &Request) -> f64 {
         let c = self.class(r);
         let share = if r.over_share { self.s.over_share_worth } else { 1.0 };
-        // Most queries are smaller than the mean, and so are their aims: those are the ones to be missed.
-        let small = DOUBT * self.work(r);
-        let runs = small / self.threads(r) * self.fleet.median_stretch.max(1.0);
-        let in_aim = now + nanos(runs) <= r.arrived + nanos(aim(c, small));
-        let late = if in_aim && !r.ask.repeated { 1.0 } else { c.late_worth.max(0.01) };
+        let late = if self.in_aim(now, r) && !r.ask.repeated { 1.0 } else { c.late_worth.max(0.01) };
         c.worth.max(1e-6) * share * late / self.work(r).max(1e-3)
     }
 
@@ -657,8 +671,7 @@
         let running = Running { queries: 1.0, threads, short: if long { 0.0 } else { threads } };
         e.running.add(running, 1.0);
         self.fleet.running.add(running, 1.0);
-        // What engines hold is what was sent, not what was asked: else, while long queries wait, counts of
-        // short ones pass for crowds of long ones, and keep them waiting.
+        // What engines hold is what was sent, not asked: else counts of short ones pass for long ones.
         let before = self.fleet.mix;
         self.fleet.mix.add(before, -LEARN);
         self.fleet.mix.add(running, alone);
@@ -698,9 +711,8 @@
             if let Some(t) = self.tenants.get_mut(usize::from(r.ask.tenant.0)).filter(|_| !r.over_share) {
                 t.tokens += 1.0;
             }
-            // Said even where clients are not known to heed it: it is all that a refusal has to offer.
             let limit = self.s.limits.max_retry_after;
-            // Not before what waits now has had its time, and spread, lest all come back at once.
+            // After what waits now, and spread, lest all come back at once.
             let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
             let wait = secs(come_back).max(self.fleet.backlog) * spread;
             acts.push(Action::Refuse { id, retry_after: nanos(wait).min(limit) });
@@ -746,8 +758,7 @@
             *e.held_groups.entry(ask.group).or_insert(1) -= 1;
             e.held_groups.retain(|_, n| *n > 0);
         }
-        // A further attempt that was answered paid off and gives its cancel back: losses do not use up the
-        // stock; slow engines, where further attempts end no sooner, do.
+        // What paid off gives its cancel back: losses do not use up the stock, slow engines do.
         if o.kind == OutcomeKind::Ok && o.attempt.0 > 0 {
             self.cancels = (self.cancels + 1.0).min(CANCEL_SPARE);
         }
@@ -790,8 +801,7 @@
         let sample = o.work.map_or(took * threads / out.crowd.max(self.fleet.crowd).max(1.0), secs);
         l.samples += 1;
         let weight = (1.0 / f64::from(l.samples)).max(LEARN);
-        // The tail moves up by much for each answer beyond it and down by little for each within, so that it
-        // settles where the stated part lies beyond. Estimates, crowding, spills and lines are all in it.
+        // The tail moves up by much for each answer beyond it, down by little for each within, and settles.
         let beyond = took > l.tail * out.alone;
         l.tail *= 1.0 + TAIL_STEP * (f64::from(u8::from(beyond)) - TAIL);
         l.tail = l.tail.clamp(1.0, 1.0 / TAIL);
@@ -853,7 +863,7 @@
         }
     }
 
-    /// Judged against peers: with most engines bad already the cause is shared and nobody is ejected.
+    /// Judged against peers: with most engines bad already nobody is ejected.
     fn may_eject(&self, engine: EngineId) -> bool {
         let ready = self.engines.values().filter(|e| e.ready());
         let out = ready.clone().filter(|e| e.health != Health::Closed && e.entry.id != engine).count();
@@ -864,7 +874,6 @@
     fn on_note(&mut self, now: Nanos, id: RequestId, attempt: AttemptNo, note: Note, acts: &mut Vec<Action>) {
         let mine = self.requests.get_mut(&id).filter(|r| r.sends == u32::from(attempt.0) + 1);
         let Some(o) = mine.and_then(|r| r.out.as_mut()) else { return };
-        // Any note is a sign of life: a query that waits in an engine's line is not silent.
         o.life_at = now;
         let (engine, sent, cancelling, alone) = (o.engine, o.sent, o.cancelling, o.alone);
         if let Some(e) = self.engines.get_mut(&engine) {
@@ -894,9 +903,8 @@
         }
     }
 
-    /// A query that stands still for a load on its data is not slow, nor is its engine, but it need not wait:
-    /// it goes where the data is free, from the stock of cancels, and this gateway keeps others off for a
-    /// while. Should help with any hold on data that lasts; harms where it was just about to end.
+    /// A query that stands still for a load on its data is not slow, nor is its engine: it goes where the
+    /// data is free, and this gateway keeps others off for a while. Harms where the load was about to end.
     fn stands_still(&mut self, now: Nanos, id: RequestId, engine: EngineId, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let (group, in_time) = (r.ask.group, now + nanos(self.alone(r)) < self.useful_end(r));
--- a/src/state.rs
+++ b/src/state.rs
@@ -176,6 +176,20 @@
     }
 }
 
+impl Fleet {
+    /// An arc of the ring of ready engines, from some place in it: one of the evenly spaced arcs of all gateways.
+    pub fn arc(
+        &self,
+        me: usize,
+        gateways: usize,
+        most: usize,
+        place: usize,
+    ) -> impl Iterator<Item = EngineId> {
+        let (n, most) = (self.ready.len(), most.min(self.ready.len()));
+        (0..most).map(move |i| self.ready[(me * n / gateways + (place + i) % most) % n])
+    }
+}
+
 /// The decisions of one gateway.
 pub struct Gateway {
     pub(crate) s: Settings,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -68,6 +68,52 @@
     }
 }
 
+/// Guards against the price of handshakes: with 100 gateways and 30 engines every gateway had a connection to each
+/// engine that it used once in six seconds.
+#[test]
+fn a_gateway_that_can_not_ask_keeps_to_few_engines_and_all_get_their_part() {
+    let engines: Vec<EngineEntry> = (1..=30).map(|i| entry(i, 0, 0)).collect();
+    let mut total = std::collections::BTreeMap::new();
+    for me in 0..100 {
+        let mut rig =
+            one_of(me, Settings { probe_price: 0.08, gateways: 100, ..settings() }, engines.clone());
+        let mut met = std::collections::BTreeSet::new();
+        for id in 0..60 {
+            let sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            met.insert(sent[0].1);
+            *total.entry(sent[0].1).or_insert(0) += 1;
+            rig.pass(100 * MS);
+            rig.tell(outcome(id, 0, sent[0].1, OutcomeKind::Ok, 200 * MS));
+        }
+        assert!(met.len() <= 8, "gateway {me} met {} engines", met.len());
+    }
+    let (least, most) = (total.values().min(), total.values().max());
+    assert!(total.len() == 30 && least > Some(&150) && most < Some(&260), "200 each are even: {total:?}");
+}
+
+/// Guards what can still be in time: late answers filled the bound, slowed all others, and earned a tenth.
+#[test]
+fn what_misses_its_aim_anyway_takes_no_room_that_others_need() {
+    let engines: Vec<EngineEntry> = (1..=10).map(|i| entry(i, 0, 0)).collect();
+    let mut rig =
+        one_of(3, Settings { probe_price: 0.08, gateways: 30, note_period: 0, ..settings() }, engines);
+    let first: Vec<(u32, EngineId)> = (0..4)
+        .flat_map(|id| sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 60 * S, 400 * MS)))))
+        .collect();
+    rig.pass(1500 * MS);
+    let late = rig.tell(outcome(0, 0, first[0].1, OutcomeKind::Reset, 1500 * MS));
+    assert!(sends(&late).is_empty());
+    let fresh = rig.tell(Event::Request(ask(9, 0, rig.now, 6 * S, 200 * MS)));
+    assert_eq!(sends(&fresh).len(), 1);
+    // With idle room it is served all the same.
+    let mut acts = rig.tell(outcome(9, 0, sends(&fresh)[0].1, OutcomeKind::Ok, 200 * MS));
+    for (id, engine) in &first[1..] {
+        acts.extend(rig.tell(outcome(*id, 0, *engine, OutcomeKind::Ok, 1600 * MS)));
+    }
+    acts.extend(rig.pass(2 * S));
+    assert!(sends(&acts).iter().any(|(id, _)| *id == 0));
+}
+
 /// Guards against the herd to what is new: as the rest slowed together, an engine that had shown nothing yet looked
 /// the fastest to all gateways at once, and got four times its part while it was cold.
 #[test]
