Use turns on cold engines first where no engine is asked

Cause: a gateway has a turn on a cold engine rarely, the choice did not look at the engines where it had one (`candidates`), and where it did, `cost` put a place in a third of a bound behind one in a full bound, since without reports own queries are all the load it knows.

Change: the engines with a turn are compared too, and a cold one that the budget lets in comes first.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -401,7 +401,7 @@
         }
         if !self.asks() {
             let others = [any / NEAR, any / NEAR + n / 2].map(|at| f.ready[at % n]);
-            return self.near(any).chain(others).collect();
+            return f.turns.iter().copied().chain(self.near(any)).chain(others).collect();
         }
         let known = f.turns.iter().take(CANDIDATES / 2).chain(&f.recent);
         let others = (0..CANDIDATES / 2).map(|i| &f.ready[(any % n + i * (n / CANDIDATES)) % n]);
@@ -496,7 +496,7 @@
     /// The bound binds under pressure; before that, a burst may fill some more.
     fn has_room(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
         let (k, long) = (self.threads(r), self.is_long(r));
-        // Far slower than its peers (paging, a neighbour): less, to clear it. Harms after underestimates.
+        // Far slower than its peers: less, to clear it. Harms after underestimates.
         let jam = (JAM * self.fleet.median_stretch / e.stretch).min(1.0);
         let able = jam * e.warmth(now, &self.s.rules);
         if !self.thin(e, k) {
@@ -504,15 +504,14 @@
             let limit = able * if pressed { e.bound } else { e.start * SURGE } / self.sharers;
             return e.running.fits(k, long, limit);
         }
-        // Exception: a share under one query. All engines' shares together bound own threads; reports tell
-        // where room is; under pressure a turn lets in as many gateways as the whole bound holds queries.
+        // Exception: a share under one query. All shares together bound own threads, reports tell where room
+        // is; under pressure a turn lets in as many gateways as the whole bound holds queries.
         let pressed = self.pressed(now, self.fleet.stretch);
         // What misses its aim anyway earns little: it may fill idle room, not slow what can still be in time.
         let part = if self.asks() || self.in_aim(now, r) { 1.0 } else { LATE_PART };
         let share = self.fleet.bound / self.sharers * self.spare(pressed) * part;
-        // A share of a few queries is kept in the mean over a period, like Ne of the law: held to it at every
-        // moment, whole queries would leave a good part of it unused. At a moment it may be twice as much,
-        // and a gateway with nothing out may send one.
+        // A share of a few queries is kept in the mean over a period, like Ne of the law, lest a good part of
+        // it be unused. At a moment it may be twice as much, and one with nothing out may send one.
         let own = (self.fleet.running.queries < 1.0 || self.fleet.mean.fits(0.0, long, share))
             && self.fleet.running.fits(k, long, (2.0 * share).max(k / LONG_BORROW));
         let whole = able * e.bound * if long { LONG_BORROW } else { SURGE };
@@ -554,7 +553,9 @@
         let on = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
         let data = on(self.stands(now, r, e), GROUP_HELD);
         let place = on(self.s.crossing_costs && e.entry.zone != self.s.zone, CROSS);
-        let far = on(thin && !self.asks() && !self.near(0).any(|id| id == e.entry.id), FAR);
+        let (blind, cold) = (thin && !self.asks(), e.warmth(now, &self.s.rules) < 1.0);
+        // A turn on a cold engine is rare, and lost if it is not used.
+        let far = on(blind && !self.near(0).any(|id| id == e.entry.id), FAR) - on(blind && cold, TRIED);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
         (load + k) / limit.max(0.5) * slow + data + place + far + past
     }
@@ -1029,8 +1030,7 @@
     }
 
     /// Where gateways may talk, a beat a second to a few others tells how many live; parts of the dead pass
-    /// to the rest. Guards against lost gateways and zones; a cut between live ones could overfill warm ones,
-    /// never cold ones, whose budget keeps to the count in the settings.
+    /// to the rest. A cut between live ones could overfill warm engines, never cold ones.
     fn beat(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         let (me, others) = (self.s.me, self.s.gateways.max(1) - 1);
         let told = others.min(BEATS_MOST);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -114,6 +114,32 @@
     assert!(sends(&acts).iter().any(|(id, _)| *id == 0));
 }
 
+/// Guards what a replaced part of the fleet can do: 18 of 30 engines came back cold, and each got two queries a
+/// second of all gateways while the 12 warm ones were full, as a turn there looked dearer than a place in the crowd.
+#[test]
+fn turns_on_cold_engines_are_used_where_no_engine_is_asked() {
+    let warm = (1..=12).map(|i| entry(i, 0, 0));
+    let engines: Vec<EngineEntry> = warm.chain((13..=30).map(|i| entry(i, 0, T0))).collect();
+    let mut on_cold = 0;
+    for me in 0..100 {
+        let settings = Settings { probe_price: 0.08, gateways: 100, note_period: 0, ..settings() };
+        let mut rig = one_of(me, settings, engines.clone());
+        // Work is learned first: what is not known yet is taken for heavy.
+        for id in 0..16 {
+            let sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            sent.iter().for_each(|s| drop(rig.tell(outcome(id, 0, s.1, OutcomeKind::Ok, 200 * MS))));
+        }
+        for id in 16..36 {
+            let mut sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            sent.extend(sends(&rig.pass(200 * MS)));
+            on_cold += sent.iter().filter(|(_, engine)| engine.0 > 12).count();
+            sent.iter().for_each(|(id, e)| drop(rig.tell(outcome(*id, 0, *e, OutcomeKind::Ok, 200 * MS))));
+        }
+    }
+    // In four seconds, of 2,000 queries; the budget allows three times as much as is asked for here.
+    assert!(on_cold > 200, "{on_cold} queries went to 18 cold engines");
+}
+
 /// Guards against the herd to what is new: as the rest slowed together, an engine that had shown nothing yet looked
 /// the fastest to all gateways at once, and got four times its part while it was cold.
 #[test]
