Let a turn on a cold engine stand free of own queries stuck on warm ones

Cause: `own` in `has_room` bounds a gateway's threads over the whole fleet. Its share was full of queries stuck on warm engines, so its turns on cold ones, which rule 4 rations already, passed unused.

Change: that bound does not hold for a turn on a cold engine where no engine is asked.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -363,8 +363,7 @@
     fn probe(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
         let some = self.candidates();
         let Some(r) = self.requests.get(&id).filter(|_| self.asks()) else { return };
-        // Where one that counts its queries is known to be half empty and would take this one, a probe would
-        // tell nothing of worth. One that may not be sent to, cold or without a turn, is no reason not to.
+        // Where one that counts its queries is half empty and would take this one, a probe tells nothing.
         let (class, threads) = (self.class(r), self.threads(r));
         let open =
             |e: &&Engine| placed(class, &e.entry) && e.health == Health::Closed && self.gate(now, id, r, e);
@@ -504,16 +503,18 @@
             let limit = able * if pressed { e.bound } else { e.start * SURGE } / self.sharers;
             return e.running.fits(k, long, limit);
         }
-        // Exception: a share under one query. All shares together bound own threads, reports tell where room
-        // is; under pressure a turn lets in as many gateways as the whole bound holds queries.
+        // Exception: a share under one query. All shares bound own threads, reports tell where room is, and
+        // under pressure a turn lets in as many gateways as the whole bound holds queries.
         let pressed = self.pressed(now, self.fleet.stretch);
         // What misses its aim anyway earns little: it may fill idle room, not slow what can still be in time.
         let part = if self.asks() || self.in_aim(now, r) { 1.0 } else { LATE_PART };
         let share = self.fleet.bound / self.sharers * self.spare(pressed) * part;
         // A share of a few queries is kept in the mean over a period, like Ne of the law, lest a good part of
         // it be unused. At a moment it may be twice as much, and one with nothing out may send one.
-        let own = (self.fleet.running.queries < 1.0 || self.fleet.mean.fits(0.0, long, share))
-            && self.fleet.running.fits(k, long, (2.0 * share).max(k / LONG_BORROW));
+        // A turn on a cold engine does not wait for own queries that are stuck on the warm ones beside it.
+        let own = (!self.asks() && e.warmth(now, &self.s.rules) < 1.0)
+            || ((self.fleet.running.queries < 1.0 || self.fleet.mean.fits(0.0, long, share))
+                && self.fleet.running.fits(k, long, (2.0 * share).max(k / LONG_BORROW)));
         let whole = able * e.bound * if long { LONG_BORROW } else { SURGE };
         let load = self.load(now, e);
         let crowded = now < e.full_until || load >= e.start || (pressed && load > FLOOR * e.start);
@@ -534,8 +535,7 @@
         (full / self.fleet.crowd.max(0.1)).clamp(1.0, SPARE_MOST)
     }
 
-    /// Whether it would stand still there for a load that holds its data: an own one, or one that others of
-    /// this gateway were seen or told to wait for.
+    /// Whether it would stand still there for a load: an own one, or one that others were seen to wait for.
     fn stands(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
         let (c, group) = (self.class(r), &r.ask.group);
         let seen = || e.stood_still.get(group).is_some_and(|until| *until > now);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -140,6 +140,30 @@
     assert!(on_cold > 200, "{on_cold} queries went to 18 cold engines");
 }
 
+/// Guards the same where the warm engines jam: own queries that are stuck there filled a gateway's whole share, and
+/// its turns on the idle cold ones passed unused.
+#[test]
+fn turns_on_cold_engines_do_not_wait_for_queries_stuck_on_warm_ones() {
+    let warm = (1..=12).map(|i| entry(i, 0, 0));
+    let engines: Vec<EngineEntry> = warm.chain((13..=30).map(|i| entry(i, 0, T0))).collect();
+    let mut on_cold = 0;
+    for me in 0..100 {
+        let settings = Settings { probe_price: 0.08, gateways: 100, note_period: 0, ..settings() };
+        let mut rig = one_of(me, settings, engines.clone());
+        let stuck = |id| ask(id, 0, rig.now, 60 * S, 4 * S);
+        let asks: Vec<NewRequest> = (0..8).map(stuck).collect();
+        asks.into_iter().for_each(|a| drop(rig.tell(Event::Request(a))));
+        rig.pass(2 * S);
+        for id in 16..36 {
+            let mut sent = sends(&rig.tell(Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS))));
+            sent.extend(sends(&rig.pass(200 * MS)));
+            on_cold += sent.iter().filter(|(id, engine)| *id >= 16 && engine.0 > 12).count();
+            sent.iter().for_each(|(id, e)| drop(rig.tell(outcome(*id, 0, *e, OutcomeKind::Ok, 200 * MS))));
+        }
+    }
+    assert!(on_cold > 40, "{on_cold} queries went to 18 cold engines");
+}
+
 /// Guards against the herd to what is new: as the rest slowed together, an engine that had shown nothing yet looked
 /// the fastest to all gateways at once, and got four times its part while it was cold.
 #[test]
