Check odd lists and engines without connections at the size of a large fleet

Need: the issue on fleet growth names lists that are stale, doubled or shorter than the truth, and engines with no connection free. 60 rounds of such lists against one of 100 gateways that asks no engine: nothing goes to what the list does not name as ready, each request ends once, after three attempts at most. It found nothing.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -212,6 +212,63 @@
     assert!(on_warm <= 420, "{on_warm} queries went to 12 warm engines at once");
 }
 
+/// Guards against lists of a coordinator that misbehaves, at the size of a large fleet: stale, doubled, shorter than
+/// the truth or empty, while engines have no connection free. Nothing goes to what the list does not name as ready,
+/// every request ends once after three attempts at most, and what waits causes no storm.
+#[test]
+fn odd_lists_of_a_large_fleet_break_no_rule_and_cause_no_storm() {
+    let settings = Settings { probe_price: 0.08, gateways: 100, note_period: 0, ..settings() };
+    let settings = Settings { rules: Rules { extra: None, ..settings.rules }, ..settings };
+    let mut rig = one_of(42, settings, vec![]);
+    let all = |from: u64, count: u64| (from..from + count).map(|i| entry(i, 0, 0)).collect::<Vec<_>>();
+    let draining = |e: EngineEntry| EngineEntry { readiness: Readiness::Draining, ..e };
+    let mut ready = std::collections::BTreeSet::new();
+    let mut attempts = std::collections::BTreeMap::<u32, u16>::new();
+    let mut ended = std::collections::BTreeMap::<u32, usize>::new();
+    let mut next = 0;
+    for round in 0..60_u64 {
+        let entries = match round % 6 {
+            0 => all(1 + round, 60),
+            1 => all(1, 60),
+            2 => [all(1, 60), all(1, 60)].concat(),
+            3 => all(1, 60).into_iter().chain(all(1, 30).into_iter().map(draining)).collect(),
+            4 => all(30, 7),
+            _ => vec![],
+        };
+        let mut named = std::collections::BTreeMap::new();
+        named.extend(entries.iter().map(|e| (e.id, e.readiness)));
+        ready = named.into_iter().filter(|(_, r)| *r == Readiness::Ready).map(|(id, _)| id).collect();
+        let mut acts = rig.tell(Event::List { kind: ListKind::Full, entries });
+        for _ in 0..5 {
+            acts.extend(rig.tell(Event::Request(ask(next, 0, rig.now, 4 * S, 200 * MS))));
+            next += 1;
+        }
+        for step in 0.. {
+            finals(&acts).iter().for_each(|(id, _)| *ended.entry(*id).or_default() += 1);
+            let sent = sends(&acts);
+            acts = Vec::new();
+            if step >= 10 && sent.is_empty() {
+                break;
+            }
+            for (id, engine) in sent {
+                assert!(ready.contains(&engine), "round {round}: {engine:?} is not ready");
+                let attempt = attempts.entry(id).or_default();
+                *attempt += 1;
+                let full = (round + step + u64::from(id)).is_multiple_of(2);
+                let kind = if full { OutcomeKind::ConnectFailed } else { OutcomeKind::Ok };
+                *ended.entry(id).or_default() += usize::from(!full);
+                acts.extend(rig.tell(outcome(id, *attempt - 1, engine, kind, 100 * MS)));
+            }
+            acts.extend(rig.pass(20 * MS));
+        }
+    }
+    let left = finals(&rig.pass(6 * S));
+    left.iter().for_each(|(id, _)| *ended.entry(*id).or_default() += 1);
+    assert!((0..next).all(|id| ended.get(&id) == Some(&1)), "{ended:?}");
+    assert!(attempts.values().all(|n| *n <= 3), "{attempts:?}");
+    assert!(ready.is_empty());
+}
+
 /// Guards against the herd to what is new: as the rest slowed together, an engine that had shown nothing yet looked
 /// the fastest to all gateways at once, and got four times its part while it was cold.
 #[test]
