--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod manager;
 pub mod net;
 pub mod settings;
+pub mod spool;
 mod state;
 pub mod statement;
 
