--- a/src/spool/mod.rs
+++ b/src/spool/mod.rs
@@ -3,6 +3,8 @@
 //! A pure state machine, as the decision module is: events in, steps out, no I/O, no clock of its own, whole
 //! microseconds. The store writes what it orders and says when that is durable; only then does the next step follow.
 //! `docs/SPOOL.md` has the states and why they are so.
+pub mod handle;
+
 use crate::clock::Micros;
 use crate::interface::TenantId;
 use std::collections::{BTreeMap, BTreeSet};
