Open a second address for operators: readiness, figures by class, drain

Change: a lifecycle machine, the source of what status and GET /ready say and of when kept connections go; the second address with its parser and actor; answers counted by class at Manager::close and by fronts; attempts counted when their last byte is written. Ruled out: closing the listener, which resets what waits in its line; answering through the module's mailbox, which a storm fills.

--- a/src/config.rs
+++ b/src/config.rs
@@ -14,6 +14,7 @@
     #[serde(default)]
     limits: Bounds,
     coordinator: SocketAddr,
+    console: Option<SocketAddr>,
     known: Value,
     settings: Value,
 }
@@ -67,6 +68,8 @@
     pub limits: Bounds,
     /// Where the coordinator listens.
     pub coordinator: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub console: Option<SocketAddr>,
     /// The events of the coordinator so far, as JSON.
     pub known: Value,
     /// What the module is told.
@@ -100,8 +103,18 @@
         keepalive: limits["keepalive_ns"].as_u64().unwrap_or(15_000_000_000),
         streams: limits["max_streams"].as_u64().unwrap_or(32).max(1) as usize,
     };
-    let (listen, coordinator) = (t.listen, t.coordinator);
-    Ok(Config { name: t.name, listen, seed, limits: t.limits, coordinator, known: t.known, settings, names })
+    let (listen, coordinator, console) = (t.listen, t.coordinator, t.console);
+    Ok(Config {
+        name: t.name,
+        listen,
+        seed,
+        limits: t.limits,
+        coordinator,
+        console,
+        known: t.known,
+        settings,
+        names,
+    })
 }
 
 /// Reads the configuration from a file.
--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -69,6 +69,8 @@
     suspect: bool,
     /// Ended here otherwise than by a whole answer: more words about them may come.
     stale: VecDeque<RequestId>,
+    /// Attempts written to their last byte.
+    dispatched: u64,
     over: Option<End>,
 }
 
@@ -86,6 +88,7 @@
             quiet_since: now,
             suspect: false,
             stale: VecDeque::new(),
+            dispatched: 0,
             over: None,
         }
     }
@@ -224,14 +227,22 @@
         if chunk.done < chunk.bytes.len() {
             return;
         }
-        let started = self.outbox.pop_front().and_then(|chunk| chunk.starts);
+        let Some(chunk) = self.outbox.pop_front() else { return };
+        let started = chunk.starts;
         // What follows is its end, if that is held back.
         let held = self.outbox.front().and_then(|chunk| chunk.ends).filter(|id| started == Some(*id));
+        let whole = chunk.ends.is_some() || (started.is_some() && held.is_none());
+        self.dispatched += u64::from(whole);
         if let Some(on_it) = held.and_then(|id| self.on_it.get_mut(&id)) {
             (on_it.reach, self.held_until) = (Reach::Begun, Some(now + HOLD));
         }
     }
 
+    /// Attempts written to their last byte since it was asked last.
+    pub fn dispatched(&mut self) -> u64 {
+        std::mem::take(&mut self.dispatched)
+    }
+
     /// Bytes came; none means that the engine closed.
     pub fn read(&mut self, now: Micros, input: &[u8], events: &mut Vec<Event>) {
         let (mut said, mut replies) = (Vec::new(), Vec::new());
--- /dev/null
+++ b/src/front/console.rs
@@ -0,0 +1,169 @@
+//! The second address, for operators alone: HTTP/1.1, one call to a connection. Parser and wording, no sockets.
+use crate::http::{self, Fault};
+use crate::manager::counters::{Figures, Tally};
+use std::fmt::Write as _;
+
+/// A longer head is refused.
+const MOST_HEAD: usize = 4 * 1024;
+
+/// What an operator can ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `GET /ready`
+    Ready,
+    /// `GET /metrics`
+    Metrics,
+    /// `POST /drain`
+    Drain,
+    /// `POST /undrain`
+    Undrain,
+}
+
+/// Why a call can't be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// It is not HTTP/1.x.
+    Malformed,
+    /// Its head is too long.
+    TooLong,
+    /// It did not come whole in time.
+    Late,
+    /// There is no such call.
+    Unknown,
+    /// The call has another method: that one.
+    Method(&'static str),
+}
+
+const CALLS: [(&str, &str, Call); 4] = [
+    ("GET", "/ready", Call::Ready),
+    ("GET", "/metrics", Call::Metrics),
+    ("POST", "/drain", Call::Drain),
+    ("POST", "/undrain", Call::Undrain),
+];
+
+/// Reads a call, if its head is there whole. A body means nothing.
+pub fn call(input: &[u8]) -> Result<Option<Call>, Wrong> {
+    let (head, length) = match http::head(&input[..input.len().min(MOST_HEAD)]) {
+        Ok(Some(read)) => read,
+        Ok(None) if input.len() >= MOST_HEAD => return Err(Wrong::TooLong),
+        // What can't become a call is told so at once, not after the deadline.
+        Ok(None) if !input.is_empty() && !input[0].is_ascii_uppercase() => return Err(Wrong::Malformed),
+        Ok(None) => return Ok(None),
+        Err(Fault::HeadTooLong) => return Err(Wrong::TooLong),
+        Err(_) => return Err(Wrong::Malformed),
+    };
+    debug_assert!(length <= input.len());
+    let [method, target, version] = &head.first;
+    if !version.starts_with("HTTP/1.") {
+        return Err(Wrong::Malformed);
+    }
+    let path = target.split('?').next().unwrap_or_default();
+    let (right, _, call) = CALLS.iter().find(|(_, p, _)| *p == path).ok_or(Wrong::Unknown)?;
+    if method == right { Ok(Some(*call)) } else { Err(Wrong::Method(right)) }
+}
+
+/// An answer, whole.
+pub fn answer(status: u16, allow: Option<&str>, body: &str) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        431 => "Request Header Fields Too Large",
+        _ => "Service Unavailable",
+    };
+    let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\n");
+    if let Some(allow) = allow {
+        let _ = write!(head, "Allow: {allow}\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+    [head.as_bytes(), body.as_bytes()].concat()
+}
+
+/// The answer to a call that can't be answered.
+pub fn wrong(why: Wrong) -> Vec<u8> {
+    match why {
+        Wrong::Malformed => answer(400, None, "this is no HTTP/1.1 request\n"),
+        Wrong::TooLong => answer(431, None, "the head of the request is too long\n"),
+        Wrong::Late => answer(408, None, "the request did not come whole in time\n"),
+        Wrong::Unknown => {
+            answer(404, None, "there are GET /ready, GET /metrics, POST /drain and POST /undrain\n")
+        }
+        Wrong::Method(right) => answer(405, Some(right), &format!("use {right}\n")),
+    }
+}
+
+/// All figures, one a line: the one table of their names.
+pub fn figures(f: &Figures) -> String {
+    let mut out = String::with_capacity(1024);
+    for (class, tally) in &f.classes {
+        let Tally { success, overload, error } = tally;
+        for (name, n) in [("success", success), ("overload", overload), ("error", error)] {
+            let _ = writeln!(out, "app.replies.{class}.{name}:{n}|c");
+        }
+    }
+    for (name, n, kind) in [
+        ("dispatches", f.dispatches, 'c'),
+        ("concurrent", f.concurrent, 'g'),
+        ("targets", f.targets, 'g'),
+        ("targets_disabled", f.targets_disabled, 'g'),
+        ("reload_success", f.reload_success, 'c'),
+        ("reload_failure", f.reload_failure, 'c'),
+    ] {
+        let _ = writeln!(out, "app.{name}:{n}|{kind}");
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards each caller's answer: the same however the bytes are cut, and each fault under its own status.
+    #[test]
+    fn calls_are_read_however_they_are_cut_and_faults_are_named() {
+        let wire = b"POST /drain?by=anna HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+        for cut in 0..wire.len() {
+            assert_eq!(call(&wire[..cut]), Ok(None));
+        }
+        assert_eq!(call(wire), Ok(Some(Call::Drain)));
+        assert_eq!(call(b"GET /metrics HTTP/1.0\r\n\r\n"), Ok(Some(Call::Metrics)));
+        assert_eq!(call(b"GET /drain HTTP/1.1\r\n\r\n"), Err(Wrong::Method("POST")));
+        assert_eq!(call(b"GET / HTTP/1.1\r\n\r\n"), Err(Wrong::Unknown));
+        assert_eq!(call(b"GET /ready HTTP/2\r\n\r\n"), Err(Wrong::Malformed));
+        assert_eq!(call(b"\x16\x03\x01"), Err(Wrong::Malformed));
+        let long = [b"GET /ready HTTP/1.1\r\nX: ".as_slice(), &[b'a'; MOST_HEAD]].concat();
+        assert_eq!(call(&long), Err(Wrong::TooLong));
+        let text = |why| String::from_utf8_lossy(&wrong(why)).into_owned();
+        assert!(
+            text(Wrong::Method("POST")).starts_with("HTTP/1.1 405 ")
+                && text(Wrong::Method("POST")).contains("Allow: POST\r\n")
+        );
+        assert!(
+            text(Wrong::Unknown).starts_with("HTTP/1.1 404 ")
+                && text(Wrong::TooLong).starts_with("HTTP/1.1 431 ")
+        );
+    }
+
+    /// Guards the names, which the operators' scrapers look for.
+    #[test]
+    fn each_figure_has_its_name_and_kind() {
+        let tally = Tally { success: 812, overload: 3, error: 0 };
+        let classes = [("lookup".into(), tally)].into_iter().collect();
+        let figures_now = Figures { classes, concurrent: 14, targets: 7, ..Figures::default() };
+        let text = figures(&figures_now);
+        let lines: Vec<&str> = text.lines().collect();
+        assert_eq!(
+            lines[..3],
+            [
+                "app.replies.lookup.success:812|c",
+                "app.replies.lookup.overload:3|c",
+                "app.replies.lookup.error:0|c"
+            ]
+        );
+        assert!(lines.contains(&"app.concurrent:14|g") && lines.contains(&"app.targets:7|g"));
+        assert!(lines.contains(&"app.reload_failure:0|c") && lines.contains(&"app.dispatches:0|c"));
+    }
+}
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -142,18 +142,27 @@
                     self.useful = true;
                     said.push(Said::Ask(ask));
                 }
-                // Guards the answer to the first request under a number: the second one's error is not for it.
-                Err((code, what)) if id.as_u64().is_some_and(|tag| self.open.contains(&tag)) => {
-                    self.error(replies, &Value::Null, code, what);
+                Err((code, what)) => {
+                    if let Some(class) = self.class(method) {
+                        let refused = code == REFUSED;
+                        let answer =
+                            if refused { Answer::Refused(None) } else { Answer::Failed(Failure::NotSent) };
+                        said.push(Said::TurnedAway(class, answer));
+                    }
+                    // Guards the answer to the first request under a number: the second one's error is not for it.
+                    let taken = id.as_u64().is_some_and(|tag| self.open.contains(&tag));
+                    self.error(replies, if taken { &Value::Null } else { &id }, code, what);
                 }
-                Err((code, what)) => self.error(replies, &id, code, what),
             },
         }
     }
 
+    fn class(&self, method: &str) -> Option<ClassId> {
+        self.names.classes.iter().position(|c| c == method).map(|at| ClassId(at as u16))
+    }
+
     fn ask(&self, now: Micros, method: &str, id: &Value, params: Value) -> Result<Ask, (i64, &'static str)> {
-        let class =
-            self.names.classes.iter().position(|c| c == method).ok_or((NO_METHOD, "no such class"))?;
+        let class = self.class(method).ok_or((NO_METHOD, "no such class"))?;
         let tag = id.as_u64().filter(|tag| *tag > 0).ok_or((INVALID_REQUEST, "the id is not a number"))?;
         if self.open.contains(&tag) {
             return Err((INVALID_REQUEST, "the id is in use"));
@@ -184,7 +193,7 @@
         Ok(Ask {
             origin: Origin { conn: self.conn, tag },
             key: params.id.into(),
-            class: ClassId(class as u16),
+            class,
             tenant: TenantId(tenant as u16),
             give_up_at: now + (params.wait * MS as f64) as Micros,
             cost: params.cost.filter(|c| *c > 0.0).map(|c| (c * MS as f64) as Micros),
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,8 +1,10 @@
 //! The fronts: parsers and mapping between a client's protocol and the core. The sockets are in `src/net`.
 pub mod clickhouse;
+pub mod console;
 pub mod jsonrpc;
 
 use crate::clock::Micros;
+use crate::interface::ClassId;
 use crate::manager::ends::End;
 use crate::manager::{Answer, Ask};
 
@@ -12,6 +14,8 @@
     Ask(Ask),
     /// The client stopped waiting for the request with that mark.
     Withdraw(u64),
+    /// A request of that class was turned away here, with that answer.
+    TurnedAway(ClassId, Answer),
 }
 
 /// Why a client is cut off within a message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod http;
 pub mod interface;
 pub mod kit;
+pub mod lifecycle;
 pub mod log;
 pub mod manager;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -23,7 +23,7 @@
 use yokelift::net::core::Input;
 use yokelift::net::list::Http;
 use yokelift::net::reload::{Reload, Second};
-use yokelift::net::{Shared, client, coordinator, core, directory, list};
+use yokelift::net::{self, Shared, client, coordinator, core, directory, list};
 use yokelift::{clock, log};
 
 /// Without a word of the coordinator for so long the list of the start has to do.
@@ -61,7 +61,7 @@
         deadlines: config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect(),
         loads: config.settings.classes.iter().map(|c| c.is_load).collect(),
         databases: Box::new(move || databases.databases.get()),
-        stopping: Box::new(move || stopping.stopping.get()),
+        stopping: Box::new(move || stopping.life.borrow().stopping()),
         // A walk through all numbers from a place that is new with each start.
         new_key: Box::new(move || {
             next.set(next.get().wrapping_add(0x9E37_79B9_7F4A_7C15));
@@ -80,6 +80,11 @@
     let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
     let listener = client::bind(config.listen)
         .map_err(|e| format!("{}: can't listen on {}: {e}", config.name, config.listen))?;
+    let console = config.console.map(|at| {
+        let bound = client::bind(at);
+        bound.map_err(|e| format!("{}: can't listen on the console {at}: {e}", config.name))
+    });
+    let console = console.transpose()?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup, Signal::Usr1])
         .map_err(|e| format!("can't wait for signals: {e}"))?;
     let names = Rc::new(config.names.clone());
@@ -93,6 +98,7 @@
 
     let tenants = Tenants::new(&names, config.settings.tenants.clone());
     let mut manager = Manager::new(clock::turn(), config.settings, config.seed);
+    manager.name_classes(&names.classes);
     manager.hold_at_most(shared.most_unread_bytes.get());
     let (core, mailbox) = bounded(core::MAILBOX);
     let (updates, list_mailbox) = bounded(list::MAILBOX);
@@ -106,11 +112,11 @@
             let _ = feed.send(update).await;
         }
         let ready = flags.clone();
-        let heard = move || ready.ready.set(true);
+        let heard = move || ready.life.borrow_mut().listed();
         flags.spawn(coordinator::run(flags.clone(), last, moves, feed, heard));
         let _ = move_on.send(Move { addr, known: Vec::new() }).await;
         Timer::after(READY_ANYWAY).await;
-        flags.ready.set(true);
+        flags.life.borrow_mut().listed();
     });
     let mut reload = Reload {
         path: files.config,
@@ -121,8 +127,13 @@
         coordinator,
         core: core.clone(),
     };
+    if let Some(console) = console {
+        shared.console.set(true);
+        shared.spawn(net::console::listen(shared.clone(), console));
+        shared.spawn(client::let_go(shared.clone()));
+    }
     let flags = shared.clone();
-    let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.ready.get() && !flags.stopping.get());
+    let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.life.borrow().ready());
     let front = move |conn| JsonRpc::new(conn, names.clone(), ready.clone());
     shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
     if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
@@ -162,7 +173,7 @@
                 },
                 _ => {
                     log!("asked to end: answering what is open");
-                    flags.stopping.set(true);
+                    flags.life.borrow_mut().stop(clock::turn());
                     Input::Stop
                 }
             };
@@ -184,7 +195,12 @@
         return Err("use: yokelift [DEPLOY-FILE]".into());
     }
     let files = Files { config: PathBuf::from(path), deploy: second };
-    serve(config::read(&files.config)?, deploy, files)
+    let mut config = config::read(&files.config)?;
+    if let Some(at) = std::env::var_os("PROXY_CONSOLE").filter(|at| !at.is_empty()) {
+        let at = at.to_str().and_then(|at| at.parse().ok());
+        config.console = Some(at.ok_or("PROXY_CONSOLE is no address")?);
+    }
+    serve(config, deploy, files)
 }
 
 fn main() -> ExitCode {
--- a/src/manager/counters.rs
+++ b/src/manager/counters.rs
@@ -2,6 +2,37 @@
 use super::ends::End;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::rc::Rc;
+
+/// Final answers of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Served.
+    pub success: u64,
+    /// Refused.
+    pub overload: u64,
+    /// Failed.
+    pub error: u64,
+}
+
+/// What operators are told, as of one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Answers by the name of the class, also of classes that are no more.
+    pub classes: BTreeMap<Rc<str>, Tally>,
+    /// Attempts written whole to engines.
+    pub dispatches: u64,
+    /// Requests taken and not ended.
+    pub concurrent: u64,
+    /// Engines in the list.
+    pub targets: u64,
+    /// Those of them that are avoided.
+    pub targets_disabled: u64,
+    /// New configurations taken.
+    pub reload_success: u64,
+    /// Those turned down.
+    pub reload_failure: u64,
+}
 
 /// Counters of the core; the same for every front and every kind of engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -36,6 +67,8 @@
     pub reloads: u64,
     /// Those that could not, and left the old one in force.
     pub reload_failures: u64,
+    /// Final answers by the name of the class, with those that a front gave without the core.
+    pub classes: BTreeMap<Rc<str>, Tally>,
     /// How attempts ended.
     pub ends: BTreeMap<End, u64>,
 }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -10,7 +10,7 @@
 use crate::decide::Gateway;
 use crate::interface::*;
 use crate::statement;
-use counters::Counters;
+use counters::{Counters, Figures};
 use ends::{End, Reach, never_ran, outcome};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -190,6 +190,8 @@
     most_statements: usize,
     next_id: u32,
     acts: Vec<Action>,
+    /// The names of the classes.
+    names: Vec<Rc<str>>,
     /// What happened so far.
     pub counters: Counters,
 }
@@ -212,6 +214,7 @@
             most_statements: usize::MAX,
             next_id: 0,
             acts: Vec::new(),
+            names: Vec::new(),
             counters: Counters::default(),
         }
     }
@@ -221,6 +224,52 @@
         self.most_statements = bytes;
     }
 
+    /// The classes are called so; their answers are counted under these names.
+    pub fn name_classes(&mut self, names: &[String]) {
+        self.names = names.iter().map(|name| name.as_str().into()).collect();
+        for name in &self.names {
+            self.counters.classes.entry(name.clone()).or_default();
+        }
+    }
+
+    /// Counts a final answer.
+    fn count(&mut self, class: ClassId, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.counters.served += 1,
+            Answer::Refused(_) => self.counters.refused += 1,
+            Answer::Failed(_) => self.counters.failed += 1,
+        }
+        self.tally(class, answer);
+    }
+
+    fn tally(&mut self, class: ClassId, answer: &Answer) {
+        let Some(name) = self.names.get(usize::from(class.0)) else { return };
+        let tally = self.counters.classes.entry(name.clone()).or_default();
+        match answer {
+            Answer::Served(_) => tally.success += 1,
+            Answer::Refused(_) => tally.overload += 1,
+            Answer::Failed(_) => tally.error += 1,
+        }
+    }
+
+    /// A front turned a request of that class away by itself.
+    pub fn turned_away(&mut self, class: ClassId, answer: &Answer) {
+        self.tally(class, answer);
+    }
+
+    /// What operators are told; all but the attempts written, which the connections to engines count.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            classes: self.counters.classes.clone(),
+            dispatches: 0,
+            concurrent: self.counters.open(),
+            targets: self.engines.len() as u64,
+            targets_disabled: self.module.avoided() as u64,
+            reload_success: self.counters.reloads,
+            reload_failure: self.counters.reload_failures,
+        }
+    }
+
     /// When the core wants its next turn by itself.
     pub fn next_due(&self) -> Option<Micros> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
@@ -257,19 +306,16 @@
         // Guards the rule of one answer: a second request under a mark that is still open would take the
         // first one's answer.
         if self.origins.contains_key(&ask.origin) || usize::from(ask.class.0) >= self.classes.len() {
-            self.counters.failed += 1;
-            return orders.push(Order::Answer(ask.origin, Answer::Failed(Failure::NotSent)));
+            return self.turn_down(&ask, Answer::Failed(Failure::NotSent), orders);
         }
         // Guards the rules on attempts and answers: engines and clients tell requests apart by their names, and
         // a second one under the name of the first would pass for its further attempt, or take its answer.
         if self.keys.contains(&ask.key) {
-            self.counters.failed += 1;
-            return orders.push(Order::Answer(ask.origin, Answer::Failed(Failure::InUse)));
+            return self.turn_down(&ask, Answer::Failed(Failure::InUse), orders);
         }
         // Guards the limit on memory: as the module sees none of it, it is refused here.
         if self.statements + ask.statement.len() > self.most_statements {
-            self.counters.refused += 1;
-            return orders.push(Order::Answer(ask.origin, Answer::Refused(Some(NO_ROOM_AFTER))));
+            return self.turn_down(&ask, Answer::Refused(Some(NO_ROOM_AFTER)), orders);
         }
         self.keys.insert(ask.key.clone());
         self.statements += ask.statement.len();
@@ -301,6 +347,11 @@
         self.tell(now, event, orders);
     }
 
+    fn turn_down(&mut self, ask: &Ask, answer: Answer, orders: &mut Vec<Order>) {
+        self.count(ask.class, &answer);
+        orders.push(Order::Answer(ask.origin, answer));
+    }
+
     /// The client stopped waiting for one request.
     pub fn withdraw(&mut self, now: Micros, origin: Origin, orders: &mut Vec<Order>) {
         if let Some(id) = self.origins.remove(&origin) {
@@ -349,7 +400,7 @@
         let served = kind == OutcomeKind::Ok && !open.closed;
         let closed = open.closed || served;
         if served {
-            self.answer(id, Answer::Served(ended.rows), orders);
+            self.close(id, Answer::Served(ended.rows), orders);
         }
         let event = Event::Outcome(Outcome {
             id,
@@ -514,26 +565,20 @@
             self.counters.stopped += 1;
             return self.fail(id, Failure::NotSent, orders);
         }
-        self.counters.refused += 1;
         self.close(id, Answer::Refused(Some(after).filter(|t| *t > 0)), orders);
     }
 
     fn fail(&mut self, id: RequestId, why: Failure, orders: &mut Vec<Order>) {
         if self.open.get(&id).is_some_and(|open| !open.closed) {
-            self.counters.failed += 1;
             self.close(id, Answer::Failed(why), orders);
         }
     }
 
-    fn answer(&mut self, id: RequestId, answer: Answer, orders: &mut Vec<Order>) {
-        self.counters.served += 1;
-        self.close(id, answer, orders);
-    }
-
     fn close(&mut self, id: RequestId, answer: Answer, orders: &mut Vec<Order>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.closed = true;
-        let (origin, at) = (open.ask.origin, open.ask.give_up_at + GUARD);
+        let (origin, class, at) = (open.ask.origin, open.ask.class, open.ask.give_up_at + GUARD);
+        self.count(class, &answer);
         self.origins.remove(&origin);
         self.deadlines.remove(&(at, id));
         orders.push(Order::Answer(origin, answer));
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -11,6 +11,7 @@
 use futures_lite::future::{or, yield_now};
 use futures_lite::{AsyncWriteExt, StreamExt};
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -49,7 +50,9 @@
     useful: Cell<bool>,
     /// Nothing is open on it and nothing is to be written, since then.
     idle_since: Cell<Option<Micros>>,
-    /// Closed to shed it.
+    /// To be let go at the next moment that it is quiet, so that no request is lost.
+    leaving: Cell<bool>,
+    /// Closed to shed it; a word on it says to look whether it is to leave.
     shed: Sender<()>,
 }
 
@@ -64,6 +67,25 @@
     all.min_by_key(|s| (s.useful.get(), s.idle_since.get())).is_some_and(|s| s.shed.close())
 }
 
+/// Between looks at which kept connections are to be let go.
+const LOOK: Duration = Duration::from_millis(20);
+/// When to come back, through another manager, from one that has to let the connection go.
+const ELSEWHERE_AFTER: Micros = 50 * MS;
+
+/// Lets kept connections go when the lifecycle says so: each closes itself at its next quiet moment.
+pub async fn let_go(shared: Rc<Shared>) {
+    loop {
+        Timer::after(LOOK).await;
+        let (now, life) = (clock::turn(), shared.life.borrow());
+        for (conn, standing) in shared.clients.borrow().iter() {
+            let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
+            if standing.leaving.replace(leaving) != leaving {
+                let _ = standing.shed.try_send(());
+            }
+        }
+    }
+}
+
 /// Listens there. Guards against a crowd that fills the usual short line: what does not fit into it believes to be
 /// connected, and is heard only seconds later.
 pub fn bind(addr: SocketAddr) -> io::Result<Async<TcpListener>> {
@@ -121,7 +143,7 @@
     let (answers, mailbox) = bounded(MAILBOX);
     let (shed, shedding) = bounded(1);
     let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
-    let standing = Rc::new(Standing { useful, idle_since, shed });
+    let standing = Rc::new(Standing { useful, idle_since, leaving: Cell::new(false), shed });
     shared.clients.borrow_mut().insert(conn, standing.clone());
     let _ = core.send(Input::Opened(conn, answers)).await;
     let (held, unread) = (Bytes::new(&shared.unwritten_bytes), Bytes::new(&shared.unread_bytes));
@@ -153,10 +175,19 @@
 
 impl<F: Front> Peer<'_, F> {
     /// Waiting for room in the module's mailbox holds back this client alone.
-    async fn pass_on(&mut self) {
-        for said in std::mem::take(&mut self.said) {
+    async fn pass_on(&mut self, now: Micros) {
+        let mut all: VecDeque<Said> = std::mem::take(&mut self.said).into();
+        while let Some(said) = all.pop_front() {
             let input = match said {
+                // Guards against a connection that is never quiet and would be held through a drain.
+                Said::Ask(ask) if self.shared.life.borrow().closes(now) => {
+                    let answer = Answer::Refused(Some(ELSEWHERE_AFTER));
+                    self.front.answer(now, ask.origin.tag, answer, &mut self.said, &mut self.unwritten);
+                    all.extend(self.said.drain(..));
+                    Input::TurnedAway(ask.class, Answer::Refused(None))
+                }
                 Said::Ask(ask) => Input::Ask(ask),
+                Said::TurnedAway(class, answer) => Input::TurnedAway(class, answer),
                 Said::Withdraw(tag) => Input::Withdraw(Origin { conn: self.conn, tag }),
             };
             let _ = self.core.send(input).await;
@@ -180,6 +211,8 @@
         let came_at = clock::turn();
         let (mut active_at, mut strikes) = (came_at, Strikes::default());
         let mut busy = None;
+        // Something waits to be read on it: it is not quiet.
+        let mut unread = false;
         loop {
             let writing = self.written < self.unwritten.len();
             if !writing && self.front.last() {
@@ -207,10 +240,12 @@
             let mut writer = self.stream;
             let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
             // One that has something open by now stays.
+            let quiet = self.front.began().is_none() && self.front.held() == 0 && !unread;
             let shed = async {
-                match idle {
-                    true => drop(shedding.recv().await),
-                    false => std::future::pending().await,
+                match (idle, standing.leaving.get()) {
+                    (true, true) if quiet => {}
+                    (true, _) => drop(shedding.recv().await),
+                    (false, _) => std::future::pending().await,
                 }
                 Turn::Shed
             };
@@ -239,9 +274,16 @@
                     busy = busy.or_else(|| Some(Held::new(&self.shared.unwritten)));
                     strikes.add(now, u64::from(matches!(answer, Answer::Refused(_))));
                     self.front.answer(now, tag, answer, &mut self.said, &mut self.unwritten);
-                    self.pass_on().await;
+                    self.pass_on(now).await;
                 }
-                Turn::Answer(None) | Turn::Shed => return End::Overflow,
+                Turn::Shed if shedding.is_closed() => return End::Overflow,
+                // Guards a request that has come and is not read yet: a close would reset it.
+                Turn::Shed if standing.leaving.get() && quiet => match self.stream.get_ref().peek(&mut [0]) {
+                    Ok(n) if n > 0 => unread = true,
+                    _ => return End::Idle,
+                },
+                Turn::Shed => {}
+                Turn::Answer(None) => return End::Overflow,
                 Turn::Wrote(Ok(n)) => {
                     self.written += n;
                     active_at = now;
@@ -254,6 +296,7 @@
                 Turn::Read(Ok(0)) => return End::Closed,
                 Turn::Read(Ok(n)) => {
                     active_at = if writing { active_at } else { now };
+                    unread = false;
                     let before = self.front.strikes();
                     let fed = {
                         let buffer = self.shared.buffer.borrow();
@@ -261,7 +304,7 @@
                     };
                     strikes.add(now, self.front.strikes() - before);
                     self.unread.set(self.front.held());
-                    self.pass_on().await;
+                    self.pass_on(now).await;
                     if let Err(end) = fed {
                         return self.farewell(end).await;
                     }
--- /dev/null
+++ b/src/net/console.rs
@@ -0,0 +1,122 @@
+//! The second address: its listener and the actor of each caller. Answers from the lifecycle and from what the core
+//! has put down; it never waits for the module.
+use super::{Held, Shared, until};
+use crate::clock::{self, MS, Micros, SEC};
+use crate::front::console::{self, Call, Wrong};
+use crate::log;
+use async_channel::{Receiver, Sender, bounded};
+use async_io::{Async, Timer};
+use futures_lite::future::{or, yield_now};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Callers at once. Their descriptors are set aside from the limit before clients and engines get their parts.
+pub const CALLERS: usize = 16;
+/// A caller owes its call, and takes its answer, within this time.
+const OWED: Micros = 2 * SEC;
+/// After the answer a little of what the caller still sends is taken in, lest a reset takes the answer along.
+const LAST_WORDS: Micros = 200 * MS;
+
+/// Accepts callers; with all places taken, the oldest one goes: its call is not finished.
+pub async fn listen(shared: Rc<Shared>, listener: Async<TcpListener>) {
+    let places: Rc<RefCell<BTreeMap<u64, Sender<()>>>> = Rc::default();
+    let held = Rc::default();
+    let mut incoming = Box::pin(listener.incoming());
+    let mut next = 0u64;
+    while let Some(stream) = incoming.next().await {
+        let stream = match stream {
+            Ok(stream) => stream,
+            Err(e) => {
+                log!("accepting an operator: {e}");
+                Timer::after(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        if places.borrow().len() >= CALLERS {
+            places.borrow_mut().pop_first().map(|(_, oldest)| oldest.close());
+        }
+        let (place, shed) = bounded(1);
+        places.borrow_mut().insert(next, place);
+        let (all, mine, taken, socket) = (shared.clone(), next, places.clone(), Held::new(&held));
+        shared.spawn(async move {
+            serve(&all, stream, shed).await;
+            taken.borrow_mut().remove(&mine);
+            drop(socket);
+        });
+        next += 1;
+        // One that was shed ends at its next turn, before the next one is taken.
+        yield_now().await;
+    }
+}
+
+async fn serve(shared: &Shared, mut stream: Async<TcpStream>, shed: Receiver<()>) {
+    let late_at = clock::turn() + OWED;
+    let shed = async {
+        let _ = shed.recv().await;
+        None
+    };
+    let late = async {
+        until(Some(late_at)).await;
+        Some(Err(Wrong::Late))
+    };
+    let Some(call) = or(shed, or(read(&mut stream), late)).await else { return };
+    let answer = match call {
+        Ok(call) => carry_out(shared, call),
+        Err(why) => console::wrong(why),
+    };
+    let last_at = clock::turn() + SEC;
+    let write = async {
+        let whole = stream.write_all(&answer).await.is_ok();
+        if whole && stream.get_ref().shutdown(Shutdown::Write).is_ok() {
+            let rest_at = clock::turn() + LAST_WORDS;
+            let mut rest = [0; 1024];
+            let drain = async { while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {} };
+            or(drain, until(Some(rest_at))).await;
+        }
+    };
+    or(write, until(Some(last_at))).await;
+}
+
+/// Reads a call; nothing if the caller went away.
+async fn read(stream: &mut Async<TcpStream>) -> Option<Result<Call, Wrong>> {
+    let (mut input, mut piece) = (Vec::new(), [0; 1024]);
+    loop {
+        let n = stream.read(&mut piece).await.ok().filter(|n| *n > 0)?;
+        input.extend_from_slice(&piece[..n]);
+        match console::call(&input) {
+            Ok(None) => {}
+            Ok(Some(call)) => return Some(Ok(call)),
+            Err(why) => return Some(Err(why)),
+        }
+    }
+}
+
+fn carry_out(shared: &Shared, call: Call) -> Vec<u8> {
+    let now = clock::turn();
+    match call {
+        Call::Ready => {
+            let life = shared.life.borrow();
+            let status = if life.ready() { 200 } else { 503 };
+            console::answer(status, None, &format!("{:?}\n", life.stage()).to_lowercase())
+        }
+        Call::Metrics => console::answer(200, None, &console::figures(&shared.figures())),
+        Call::Drain => {
+            shared.life.borrow_mut().drain(now);
+            log!("told to send clients away");
+            console::answer(200, None, "draining\n")
+        }
+        Call::Undrain => {
+            let may = shared.life.borrow_mut().undrain();
+            log!("the drain is {}", if may { "over" } else { "not over: the program ends" });
+            if may {
+                console::answer(200, None, "serving\n")
+            } else {
+                console::answer(409, None, "the program is about to end\n")
+            }
+        }
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,7 +3,7 @@
 use super::engine::ToEngine;
 use super::{Shared, until};
 use crate::clock::{self, MS, Micros};
-use crate::interface::{EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, TenantSpec};
+use crate::interface::{ClassId, EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, TenantSpec};
 use crate::log;
 use crate::manager::ends::{End, Reach};
 use crate::manager::{Answer, Ask, Ended, Manager, Order, Origin};
@@ -16,9 +16,8 @@
 pub const MAILBOX: usize = 4_096;
 /// Messages taken in one turn.
 const TURN_MOST: usize = 256;
-/// How long after it was asked to end the program goes on taking requests: connections that clients are making
-/// then still bring some.
-const LINGER: Micros = 900 * MS;
+/// Figures for operators are put down this often at most.
+const FIGURES_EVERY: Micros = 100 * MS;
 
 /// The kill comes no sooner than the longest deadline, or this if it is longer, and 0.7 s more; what is open
 /// shortly before that is given up, so that its client hears of it.
@@ -33,6 +32,8 @@
     Ask(Ask),
     /// The client stopped waiting for it.
     Withdraw(Origin),
+    /// A front turned a request of that class away by itself.
+    TurnedAway(ClassId, Answer),
     /// A client's connection ended.
     HungUp(u64),
     /// An attempt ended.
@@ -69,7 +70,6 @@
     clients: HashMap<u64, Sender<(u64, Answer)>>,
     engines: HashMap<EngineId, Sender<ToEngine>>,
     orders: Vec<Order>,
-    stop_at: Option<Micros>,
     /// When to answer what is still open at the end.
     last_at: Option<Micros>,
 }
@@ -77,9 +77,11 @@
 /// Runs until it was asked to stop and all is answered.
 pub async fn run(shared: Rc<Shared>, manager: Manager, mailbox: Receiver<Input>) -> Manager {
     let (clients, engines) = (HashMap::new(), HashMap::new());
-    let mut core = Core { manager, clients, engines, orders: Vec::new(), stop_at: None, last_at: None };
+    let mut core = Core { manager, clients, engines, orders: Vec::new(), last_at: None };
+    let mut figures_at = 0;
     loop {
-        let stop_due = core.stop_at.map(|at| at.max(clock::now() + 5 * MS));
+        let stop_at = shared.life.borrow().accepts_until();
+        let stop_due = stop_at.map(|at| at.max(clock::now() + 5 * MS));
         let due = core.manager.next_due().into_iter().chain(stop_due).chain(core.last_at).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
@@ -96,12 +98,16 @@
             core.last_at = None;
             core.manager.end_all(now, &mut core.orders);
         }
+        if shared.console.get() && now >= figures_at + FIGURES_EVERY {
+            figures_at = now;
+            *shared.figures.borrow_mut() = core.manager.figures();
+        }
         core.dispatch(now);
         // Guards against an end that takes the last answer along: it may still be in its client's mailbox, or
         // not written yet.
         let handed_on = shared.unwritten.get() == 0 && core.clients.values().all(Sender::is_empty);
         let quiet = core.manager.counters.open() == 0 && mailbox.is_empty() && handed_on;
-        if quiet && core.stop_at.is_some_and(|at| at <= now) {
+        if quiet && stop_at.is_some_and(|at| at <= now) {
             return core.manager;
         }
     }
@@ -114,6 +120,7 @@
             Input::Opened(conn, answers) => drop(self.clients.insert(conn, answers)),
             Input::Ask(ask) => manager.take(now, ask, orders),
             Input::Withdraw(origin) => manager.withdraw(now, origin, orders),
+            Input::TurnedAway(class, answer) => manager.turned_away(class, &answer),
             Input::HungUp(conn) => {
                 self.clients.remove(&conn);
                 manager.hung_up(now, conn, orders);
@@ -133,8 +140,7 @@
             Input::Reloaded(false) => manager.counters.reload_failures += 1,
             Input::DirectoryFailed => manager.counters.directory_failures += 1,
             Input::Report => eprintln!("yokelift: {}", manager.counters),
-            Input::Stop if self.stop_at.is_none() => {
-                self.stop_at = Some(now + LINGER);
+            Input::Stop if self.last_at.is_none() => {
                 self.last_at = Some(now + manager.longest_deadline().min(LONGEST) + LAST_CALL);
             }
             Input::Stop => {}
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -257,7 +257,7 @@
     async fn run(mut self, shared: &Shared) {
         let socket = Held::up_to(&shared.engine_sockets, shared.most_engine_sockets.get());
         let end = match socket {
-            Some(_) => self.serve().await,
+            Some(_) => self.serve(shared).await,
             None => End::Overflow,
         };
         let now = clock::turn();
@@ -272,7 +272,7 @@
         self.report().await;
     }
 
-    async fn serve(&mut self) -> End {
+    async fn serve(&mut self, shared: &Shared) -> End {
         let stream = match self.make().await {
             Ok(stream) => stream,
             Err(end) => return end,
@@ -314,6 +314,7 @@
                 Turn::Order(Some(order)) => self.order(now, order),
                 Turn::Wrote(Ok(n)) => {
                     self.link.wrote(now, n);
+                    shared.dispatches.set(shared.dispatches.get() + self.link.dispatched());
                     written_at = now;
                 }
                 Turn::Read(Ok(n)) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The sockets. Each peer has an actor with a bounded mailbox (a client connection, an engine, the
 //! coordinator), and so have the list of engines and the module. All run on one thread.
 pub mod client;
+pub mod console;
 pub mod coordinator;
 pub mod core;
 pub mod directory;
@@ -9,6 +10,8 @@
 pub mod reload;
 
 use crate::clock::{self, Micros};
+use crate::lifecycle::Lifecycle;
+use crate::manager::counters::Figures;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::{Cell, RefCell};
@@ -23,10 +26,14 @@
 pub struct Shared {
     /// Runs the actors.
     pub executor: Rc<LocalExecutor<'static>>,
-    /// Ready to serve: the list of engines is known and clients can connect.
-    pub ready: Cell<bool>,
-    /// Asked to end.
-    pub stopping: Cell<bool>,
+    /// Where the process stands.
+    pub life: RefCell<Lifecycle>,
+    /// Operators have an address of their own: figures are put down for them.
+    pub console: Cell<bool>,
+    /// What the core put down last.
+    pub figures: RefCell<Figures>,
+    /// Attempts written whole to engines.
+    pub dispatches: Cell<u64>,
     /// Connections to engines, and how many there may be.
     pub engine_sockets: Rc<Cell<usize>>,
     /// How many there may be.
@@ -61,8 +68,10 @@
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Shared> {
         let shared = Rc::new(Shared {
             executor: Rc::new(LocalExecutor::new()),
-            ready: Cell::new(false),
-            stopping: Cell::new(false),
+            life: RefCell::default(),
+            console: Cell::new(false),
+            figures: RefCell::default(),
+            dispatches: Cell::new(0),
             engine_sockets: Rc::default(),
             most_engine_sockets: Cell::new(0),
             client_sockets: Rc::default(),
@@ -90,6 +99,11 @@
         self.most_unread_bytes.set(part);
     }
 
+    /// What operators are told now.
+    pub fn figures(&self) -> Figures {
+        Figures { dispatches: self.dispatches.get(), ..self.figures.borrow().clone() }
+    }
+
     /// Starts an actor.
     pub fn spawn(&self, actor: impl Future<Output = ()> + 'static) {
         self.executor.spawn(actor).detach();
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,6 +247,12 @@
         }
     }
 
+    /// Listed engines that get no ordinary work now: they drain, or were found to fail.
+    pub fn avoided(&self) -> usize {
+        let listed = self.engines.values().filter(|e| e.entry.readiness != Readiness::Gone);
+        listed.filter(|e| !e.ready() || e.health != Health::Closed).count()
+    }
+
     pub(crate) fn class(&self, r: &Request) -> &ClassSpec {
         &self.s.classes[usize::from(r.ask.class.0)]
     }
--- a/tests/inside/jsonrpc.rs
+++ b/tests/inside/jsonrpc.rs
@@ -54,5 +54,10 @@
         .lines()
         .map(|l| serde_json::from_str::<Value>(l).expect("JSON")["error"]["code"].as_i64().expect("a code"))
         .collect();
-    assert_eq!((said.len(), codes), (32, vec![REFUSED, INVALID_REQUEST]));
+    let asks = said.iter().filter(|s| matches!(s, Said::Ask(_))).count();
+    assert_eq!((asks, codes), (32, vec![REFUSED, INVALID_REQUEST]));
+    // Guards the figures: what never gets to the core is counted under its class too.
+    let turned = |s: &&Said| matches!(s, Said::TurnedAway(ClassId(0), _));
+    let refused = |s: &&Said| matches!(s, Said::TurnedAway(_, Answer::Refused(_)));
+    assert_eq!((said.iter().filter(turned).count(), said.iter().filter(refused).count()), (2, 1));
 }
--- /dev/null
+++ b/tests/inside/lifecycle.rs
@@ -0,0 +1,108 @@
+//! The lifecycle against a model under random steps, and the promises that the sockets rest on.
+use super::*;
+use crate::clock::SEC;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Listed,
+    Drain,
+    Undrain,
+    Stop,
+    Meets(u8),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        match u8::arbitrary(g) % 8 {
+            0 => Step::Listed,
+            1 => Step::Drain,
+            2 => Step::Undrain,
+            3 if bool::arbitrary(g) => Step::Stop,
+            4 => Step::Meets(u8::arbitrary(g) % 4),
+            _ => Step::Wait(u16::arbitrary(g) % 3_000),
+        }
+    }
+}
+
+fn other(n: u8) -> Other {
+    match n {
+        0 => Other::None,
+        1 => Other::Predecessor,
+        n => Other::Successor { shares: n == 2 },
+    }
+}
+
+/// Guards every pair of purposes that may overlap, as a drain within an upgrade: what the machine says is what the
+/// list of all that happened so far says.
+#[test]
+fn what_it_says_follows_from_all_that_happened() {
+    fn play(steps: Vec<Step>) -> bool {
+        let (mut life, mut now, mut past) = (Lifecycle::default(), 1_000_000, Vec::new());
+        for step in steps {
+            match step {
+                Step::Listed => life.listed(),
+                Step::Drain => life.drain(now),
+                Step::Undrain => drop(life.undrain()),
+                Step::Stop => life.stop(now),
+                Step::Meets(n) => life.meets(other(n)),
+                Step::Wait(ms) => now += u64::from(ms) * MS,
+            }
+            past.push((now, step));
+            let stop = past.iter().position(|(_, s)| matches!(s, Step::Stop));
+            let upto = |stop: Option<usize>| &past[..stop.unwrap_or(past.len())];
+            let listed = past.iter().any(|(_, s)| matches!(s, Step::Listed));
+            // The first drain since the last end of one that counted.
+            let undrained =
+                upto(stop).iter().rposition(|(_, s)| matches!(s, Step::Undrain)).map_or(0, |at| at + 1);
+            let drained = past[undrained..].iter().find(|(_, s)| matches!(s, Step::Drain)).map(|(at, _)| *at);
+            let met = |(at, (_, s)): (usize, &(Micros, Step))| match s {
+                Step::Meets(n) if stop.is_none_or(|stop| at < stop) || *n == 0 => Some(other(*n)),
+                _ => None,
+            };
+            let met = past.iter().enumerate().filter_map(met).next_back().unwrap_or_default();
+            let follows = matches!(met, Other::Successor { .. });
+            let stopped = stop.map(|at| past[at].0);
+            let holds = [
+                life.ready() == (listed && drained.is_none() && stop.is_none()),
+                life.stopping() == stop.is_some(),
+                life.other() == met,
+                life.accepts_until().is_some() == stop.is_some(),
+                life.closes(now) == drained.is_some_and(|at| at + CLOSES <= now),
+                (life.part() < 1.0) == (met != Other::None),
+                // Let go only by a drain, or behind a successor, never before the front can know, all in time.
+                (0..50).all(|conn| match life.lets_go_at(conn) {
+                    None => drained.is_none() && !(follows && stopped.is_some()),
+                    Some(at) => {
+                        let by_drain = drained.is_some_and(|d| (d + LEARNS..d + CLOSES).contains(&at));
+                        let by_stop = stopped.is_some_and(|s| follows && (s..s + SEC).contains(&at));
+                        by_drain || by_stop
+                    }
+                }),
+            ];
+            if holds.contains(&false) {
+                return false;
+            }
+        }
+        true
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(40, 7)).tests(3_000);
+    check.quickcheck(play as fn(Vec<Step>) -> bool);
+}
+
+/// Guards the front's clients: those that connect in the same moment elsewhere are few, and none is held past the
+/// time by which all have to be gone.
+#[test]
+fn kept_connections_are_let_go_evenly() {
+    let mut life = Lifecycle::default();
+    life.drain(0);
+    let mut by_step = [0; 6];
+    for conn in 0..600 {
+        let at = life.lets_go_at(conn).unwrap();
+        by_step[((at - LEARNS) / (SPREAD / 6)) as usize] += 1;
+    }
+    assert!(by_step.iter().all(|n| (60..140).contains(n)), "{by_step:?}");
+    assert!(life.undrain());
+    assert_eq!(life.lets_go_at(1), None);
+}
