Take classes and attempts of a new configuration while requests are open

Change: generations of settings, whose classes keep their slots for as long as a request is open under them; each request has its own number of attempts; a fresh class starts from what the one it follows has taught; a file that lacks a key of the one in force, or with a deadline or attempts that are not positive, or with one name twice, is turned down whole. Ruled out: matching classes by place, as a dropped one moves the rest. Lines at fault: net/reload.rs, which left other names to a restart, and the defaults of settings.rs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,10 +1,13 @@
 //! What one workload manager is told at its start: `PROXY_CONFIG`, a JSON file.
-use crate::interface::{Nanos, Settings};
+use crate::interface::{ClassId, Nanos, Settings};
 use crate::settings;
 use serde::Deserialize;
 use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::rc::Rc;
 
 #[derive(Deserialize)]
 struct Text {
@@ -38,8 +41,10 @@
 /// The words of the settings that the core and the fronts need beside those of the module.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
-    /// Classes, in the order of the settings.
+    /// Classes, by their ids: at first in the order of the settings.
     pub classes: Vec<String>,
+    /// Those of them that are not in force any more.
+    pub dropped: BTreeSet<u16>,
     /// Tenants, in the order of the settings.
     pub tenants: Vec<String>,
     /// Zones, in the order of the settings.
@@ -56,6 +61,17 @@
     pub streams: usize,
 }
 
+impl Names {
+    /// The class of that name, if one is in force.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        let mut all = (0u16..).zip(&self.classes);
+        all.find(|(at, n)| *n == name && !self.dropped.contains(at)).map(|(at, _)| ClassId(at))
+    }
+}
+
+/// The names in force, which a new configuration changes.
+pub type LiveNames = Rc<RefCell<Rc<Names>>>;
+
 /// The whole configuration.
 pub struct Config {
     /// The name of this workload manager.
@@ -76,6 +92,8 @@
     pub settings: Settings,
     /// The names behind the numbers.
     pub names: Names,
+    /// The file as it came.
+    pub text: Value,
 }
 
 fn names(v: &Value) -> Vec<String> {
@@ -83,9 +101,63 @@
     v.as_array().map(|list| list.iter().map(name).collect()).unwrap_or_default()
 }
 
+/// What no default may stand in for.
+fn sound(text: &Value, settings: &Settings) -> Result<(), String> {
+    let names = names(&text["classes"]);
+    if names.iter().any(String::is_empty) {
+        return Err("settings: a class has no name".into());
+    }
+    if names.iter().collect::<BTreeSet<_>>().len() < names.len() {
+        return Err("settings: two classes have one name".into());
+    }
+    if let Some((name, _)) = names.iter().zip(&settings.classes).find(|(_, class)| class.deadline == 0) {
+        return Err(format!("settings: the deadline of {name} is not a positive number"));
+    }
+    if settings.limits.send_cap == 0 {
+        return Err("settings: the attempts (send_cap) are not a positive number".into());
+    }
+    Ok(())
+}
+
+/// Names a key that the file in force has and a new one lacks: it is not whole. Lists that tell something of each
+/// class have to tell it of all.
+pub fn lacks(new: &Value, old: &Value) -> Option<String> {
+    fn missing(new: &Value, old: &Value, path: &str) -> Option<String> {
+        let (Value::Object(new), Value::Object(old)) = (new, old) else { return None };
+        old.iter().find_map(|(key, value)| {
+            let path = format!("{path}{key}");
+            match new.get(key) {
+                // An address of operators can't move, whatever the file says.
+                None if path == "console" => None,
+                None => Some(path),
+                Some(Value::Null) if !value.is_null() => Some(path),
+                // What changes with the events of the coordinator is checked as such.
+                Some(_) if key == "known" => None,
+                Some(new) => missing(new, value, &format!("{path}.")),
+            }
+        })
+    }
+    let classes = |v: &Value| v["settings"]["classes"].as_array().cloned().unwrap_or_default();
+    let of_class = || {
+        let (new, old) = (classes(new), classes(old));
+        let keys = old.first()?.as_object()?.keys().filter(|key| old.iter().all(|c| c.get(key).is_some()));
+        let keys: Vec<&String> = keys.collect();
+        new.iter()
+            .find_map(|c| keys.iter().find(|key| c.get(key).is_none()).map(|key| format!("classes[].{key}")))
+    };
+    let of_list = || {
+        let extra = new["settings"]["extra"].as_object()?;
+        let short = |v: &Value| v.as_array().is_some_and(|list| list.len() < classes(new).len());
+        let each = ["class_threads", "loads", "blocked_by_loads"];
+        each.into_iter().find(|key| extra.get(*key).is_some_and(short)).map(|key| format!("extra.{key}[]"))
+    };
+    missing(new, old, "").or_else(of_class).or_else(of_list)
+}
+
 /// Reads the configuration from its text.
 pub fn parse(text: &[u8]) -> Result<Config, String> {
-    let t: Text = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let text: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let t = Text::deserialize(&text).map_err(|e| e.to_string())?;
     let seed = u64::from_str_radix(&t.seed, 16).map_err(|e| format!("seed: {e}"))?;
     let settings =
         settings::parse(t.settings.to_string().as_bytes()).map_err(|e| format!("settings: {e}"))?;
@@ -93,8 +165,10 @@
         return Err("settings: no classes".into());
     }
     let (s, limits) = (&t.settings, &t.settings["limits"]);
+    sound(s, &settings)?;
     let names = Names {
         classes: names(&s["classes"]),
+        dropped: BTreeSet::new(),
         tenants: names(&s["orgs"]),
         zones: names(&s["zones"]),
         kinds: names(&s["kinds"]),
@@ -114,6 +188,7 @@
         known: t.known,
         settings,
         names,
+        text,
     })
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -144,10 +144,7 @@
     /// A gateway that knows nothing but its settings.
     pub fn new(now: Nanos, settings: Settings, seed: u64) -> Gateway {
         let mut g = Gateway::blank(now, settings, seed);
-        // Until a class has taught its work, its fixed aim on all its threads is taken for it: pessimistic.
-        let usual = |c: &ClassSpec| secs(c.promise) * c.threads.max(1.0);
-        let first = |c| Learned { work: usual(c), samples: 0, bias: 1.0, tail: TAIL_FIRST };
-        g.learned = g.s.classes.iter().map(first).collect();
+        g.learned = g.s.classes.iter().map(|c| Learned::first(c, TAIL_FIRST)).collect();
         g.tenants.iter_mut().for_each(|t| t.tokens = QUOTA_LEAST);
         g.cancels = CANCEL_SPARE;
         g
@@ -166,6 +163,16 @@
         }
     }
 
+    /// New settings for what comes from now on. Fresh classes start from what those that they follow have taught.
+    pub fn retune(&mut self, s: Settings, fresh: &[(ClassId, Option<ClassId>)]) {
+        self.learned.resize_with(s.classes.len(), || Learned::first(&s.classes[0], TAIL_FIRST));
+        for (class, heir_of) in fresh.iter().map(|(class, of)| (usize::from(class.0), of)) {
+            let first = Learned::first(&s.classes[class], TAIL_FIRST);
+            self.learned[class] = heir_of.map_or(first, |of| self.learned[usize::from(of.0)]);
+        }
+        self.s = s;
+    }
+
     /// Takes in one event and appends what to do about it.
     pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
         if !self.started {
@@ -331,7 +338,8 @@
             over_share = t.tokens < 1.0 && !ask.repeated;
             t.tokens -= if over_share || ask.repeated { 0.0 } else { 1.0 };
         }
-        let r = Request { ask, arrived: now, over_share, ..Request::default() };
+        let most_sends = self.s.limits.send_cap;
+        let r = Request { ask, arrived: now, over_share, most_sends, ..Request::default() };
         if let (true, Some(key)) = (self.class(&r).in_order, ask.key) {
             self.keys.entry(key).or_default().line.push_back(ask.id);
         }
@@ -415,7 +423,7 @@
     fn gate(&self, now: Nanos, id: RequestId, r: &Request, e: &Engine) -> bool {
         let open = !r.done && now + nanos(DOUBT * self.alone(r)) < r.ask.give_up_at && r.out.is_none();
         let engine = e.ready() && placed(self.class(r), &e.entry) && self.cold_allows(now, r, e);
-        let further = r.sends == 0 || (r.sends < self.s.limits.send_cap && self.budget_allows(now));
+        let further = r.sends == 0 || (r.sends < r.most_sends && self.budget_allows(now));
         open && engine && further && self.effect_allows(now, r, Some(e)) && self.has_turn(now, id, r)
     }
 
@@ -646,7 +654,7 @@
             let Some(r) = self.requests.get(&id).filter(|r| !r.done && r.out.is_none()) else { continue };
             let wait = if rate > 0.0 { ahead / rate } else { 0.0 };
             let late = rate > 0.0 && now + nanos(wait + self.alone(r)) > self.useful_end(r);
-            if late || now + margin >= r.ask.give_up_at || r.sends >= self.s.limits.send_cap.max(1) {
+            if late || now + margin >= r.ask.give_up_at || r.sends >= r.most_sends.max(1) {
                 self.give_up(id, nanos(wait.max(0.1)), acts);
             } else {
                 ahead += self.work(r);
@@ -722,15 +730,6 @@
         self.forget(id);
     }
 
-    /// Drops a request that is over and has nothing out, and passes on its key's turn.
-    fn forget(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
-        if let Some(k) = r.ask.key.and_then(|k| self.keys.get_mut(&k)) {
-            k.line.retain(|other| *other != id);
-        }
-        self.requests.remove(&id);
-    }
-
     fn on_gone(&mut self, id: RequestId, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.done = true;
@@ -820,7 +819,7 @@
             return self.forget(id);
         }
         let time_left = now + nanos(self.alone(r)) < r.ask.give_up_at;
-        if time_left && self.effect_allows(now, r, None) && r.sends < self.s.limits.send_cap.max(1) {
+        if time_left && self.effect_allows(now, r, None) && r.sends < r.most_sends.max(1) {
             self.hold(now, id);
         } else {
             self.give_up(id, SWEEP_EVERY, acts);
@@ -921,7 +920,7 @@
     /// Whether withdrawing its attempt could be followed by another.
     fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
         let safe = self.class(r).effect == Effect::Safe && self.s.limits.may_cancel && !r.done;
-        safe && r.sends < self.s.limits.send_cap && self.budget_allows(now)
+        safe && r.sends < r.most_sends && self.budget_allows(now)
     }
 
     fn withdraw(&mut self, id: RequestId, acts: &mut Vec<Action>) {
--- a/src/deploy.rs
+++ b/src/deploy.rs
@@ -220,7 +220,8 @@
 impl ClassRules {
     /// The rules of a file, with the names of the settings.
     pub fn new(deploy: &Deploy, names: &Names) -> Result<ClassRules, String> {
-        let class = |name: &str| place(&names.classes, name, "class").map(ClassId);
+        let class =
+            |name: &str| names.class(name).ok_or_else(|| format!("the settings name no class {name:?}"));
         let rules = deploy.classes.iter().map(|line| Ok((line.clone(), class(&line.name)?)));
         let rules = rules.collect::<Result<_, String>>()?;
         Ok(ClassRules { rules, usual: class(&deploy.usual_class)? })
--- a/src/engine/platform.rs
+++ b/src/engine/platform.rs
@@ -156,7 +156,7 @@
     }
 
     fn start(&mut self, now: Micros, job: &Job) -> Vec<u8> {
-        let class = self.names.classes.get(usize::from(job.class.0)).map_or("", String::as_str);
+        let class = &job.class;
         let limit = (job.until.saturating_sub(now) / MS).max(1);
         let allot =
             if job.memory_mb > 0.0 { format!(",allot={}", job.memory_mb.ceil()) } else { String::new() };
--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -27,9 +27,9 @@
     /// Who belongs to which tenant.
     pub users: RefCell<Users>,
     /// How long a class's clients wait over all their tries.
-    pub deadlines: Vec<Micros>,
+    pub deadlines: RefCell<Vec<Micros>>,
     /// The load classes, which change what they touch.
-    pub loads: Vec<bool>,
+    pub loads: RefCell<Vec<bool>>,
     /// Whether all engines of the pool know databases, not only qualified names.
     pub databases: Box<dyn Fn() -> bool>,
     /// Whether the program is asked to end.
@@ -358,10 +358,10 @@
         let class = self.service.rules.borrow().class(&user, &statement);
         let at = usize::from(class.0);
         // Both kinds of statement may come by POST; GET is for what only reads, as caches and proxies hold it.
-        if head.first[0] == "GET" && self.service.loads.get(at).copied().unwrap_or(false) {
+        if head.first[0] == "GET" && self.service.loads.borrow().get(at).copied().unwrap_or(false) {
             return Err(READONLY);
         }
-        let deadline = self.service.deadlines.get(at).copied().unwrap_or(SEC);
+        let deadline = self.service.deadlines.borrow().get(at).copied().unwrap_or(SEC);
         let limit = number("max_execution_time")?.map(|s| (s.min(1e6) * SEC as f64) as Micros);
         let memory_mb = number("max_memory_usage")?.map(|bytes| bytes / f64::from(1 << 20));
         let key = (self.service.new_key)();
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -1,7 +1,7 @@
 //! The platform's protocol for clients: JSON-RPC 2.0 over TCP, one message per line.
 use super::{Cut, Front, Said};
 use crate::clock::{MS, Micros};
-use crate::config::Names;
+use crate::config::LiveNames;
 use crate::interface::{ClassId, TenantId};
 use crate::manager::ends::End;
 use crate::manager::{Answer, Ask, Failure, Origin};
@@ -60,7 +60,7 @@
 /// One client connection.
 pub struct JsonRpc {
     conn: u64,
-    names: Rc<Names>,
+    names: LiveNames,
     /// Whether this program is ready to serve.
     ready: Rc<dyn Fn() -> bool>,
     input: Vec<u8>,
@@ -77,7 +77,7 @@
 
 impl JsonRpc {
     /// A new connection.
-    pub fn new(conn: u64, names: Rc<Names>, ready: Rc<dyn Fn() -> bool>) -> JsonRpc {
+    pub fn new(conn: u64, names: LiveNames, ready: Rc<dyn Fn() -> bool>) -> JsonRpc {
         let (input, open) = (Vec::new(), BTreeSet::new());
         let (began, useful, strikes, closing) = (None, false, 0, false);
         JsonRpc { conn, names, ready, input, looked: 0, open, began, useful, strikes, closing }
@@ -158,7 +158,7 @@
     }
 
     fn class(&self, method: &str) -> Option<ClassId> {
-        self.names.classes.iter().position(|c| c == method).map(|at| ClassId(at as u16))
+        self.names.borrow().class(method)
     }
 
     fn ask(&self, now: Micros, method: &str, id: &Value, params: Value) -> Result<Ask, (i64, &'static str)> {
@@ -182,9 +182,10 @@
         {
             return Err((INVALID_PARAMS, "a figure is out of range"));
         }
-        let tenant = self.names.tenants.iter().position(|t| *t == params.tenant);
+        let names = self.names.borrow();
+        let tenant = names.tenants.iter().position(|t| *t == params.tenant);
         let tenant = match tenant {
-            None if self.names.tenants.is_empty() => 0,
+            None if names.tenants.is_empty() => 0,
             None => return Err((INVALID_PARAMS, "no such tenant")),
             Some(tenant) => tenant,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,7 +62,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ClassSpec {
     /// Worth of one request answered within its aim.
     pub worth: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod directory;
 pub mod engine;
 pub mod front;
+pub mod generations;
 pub mod http;
 pub mod interface;
 pub mod kit;
--- a/src/main.rs
+++ b/src/main.rs
@@ -58,8 +58,8 @@
     Ok(Service {
         rules: RefCell::new(ClassRules::new(deploy, names)?),
         users: RefCell::new(Users::new(deploy, names)?),
-        deadlines: config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect(),
-        loads: config.settings.classes.iter().map(|c| c.is_load).collect(),
+        deadlines: RefCell::new(config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect()),
+        loads: RefCell::new(config.settings.classes.iter().map(|c| c.is_load).collect()),
         databases: Box::new(move || databases.databases.get()),
         stopping: Box::new(move || stopping.life.borrow().stopping()),
         // A walk through all numbers from a place that is new with each start.
@@ -97,8 +97,8 @@
     let (last, known) = list::parse_known(&config.known, &names)?;
 
     let tenants = Tenants::new(&names, config.settings.tenants.clone());
-    let mut manager = Manager::new(clock::turn(), config.settings, config.seed);
-    manager.name_classes(&names.classes);
+    let settings = config.settings.clone();
+    let mut manager = Manager::new(clock::turn(), config.settings, &names.classes, config.seed);
     manager.hold_at_most(shared.most_unread_bytes.get());
     let (core, mailbox) = bounded(core::MAILBOX);
     let (updates, list_mailbox) = bounded(list::MAILBOX);
@@ -118,9 +118,12 @@
         Timer::after(READY_ANYWAY).await;
         flags.life.borrow_mut().listed();
     });
+    let live: config::LiveNames = Rc::new(RefCell::new(names.clone()));
     let mut reload = Reload {
         path: files.config,
-        names: names.clone(),
+        names: live.clone(),
+        settings: RefCell::new(settings),
+        text: RefCell::new(config.text),
         listen,
         second: None,
         shared: shared.clone(),
@@ -134,7 +137,7 @@
     }
     let flags = shared.clone();
     let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.life.borrow().ready());
-    let front = move |conn| JsonRpc::new(conn, names.clone(), ready.clone());
+    let front = move |conn| JsonRpc::new(conn, live.clone(), ready.clone());
     shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
     if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
         let file = Rc::new(RefCell::new(service.users.borrow().clone()));
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::{Micros, micros, nanos};
 use crate::decide::Gateway;
+use crate::generations::{Class, Generations};
 use crate::interface::*;
 use crate::statement;
 use counters::{Counters, Figures};
@@ -92,8 +93,8 @@
     pub attempt: AttemptNo,
     /// The client's name for the request.
     pub key: Rc<str>,
-    /// Its class.
-    pub class: ClassId,
+    /// The name of its class.
+    pub class: Rc<str>,
     /// What to run.
     pub statement: Rc<[u8]>,
     /// What its session adds.
@@ -152,6 +153,7 @@
 struct Open {
     ask: Ask,
     sends: u16,
+    most_sends: u16,
     out: Option<Out>,
     /// The first attempt that may have run, if any did.
     may_have_run: bool,
@@ -175,7 +177,7 @@
 /// The core.
 pub struct Manager {
     module: Gateway,
-    classes: Vec<ClassSpec>,
+    generations: Generations,
     send_cap: u16,
     engines: BTreeMap<EngineId, Readiness>,
     open: BTreeMap<RequestId, Open>,
@@ -190,18 +192,16 @@
     most_statements: usize,
     next_id: u32,
     acts: Vec<Action>,
-    /// The names of the classes.
-    names: Vec<Rc<str>>,
     /// What happened so far.
     pub counters: Counters,
 }
 
 impl Manager {
     /// A core that knows nothing but its settings.
-    pub fn new(now: Micros, settings: Settings, seed: u64) -> Manager {
-        Manager {
-            classes: settings.classes.clone(),
-            send_cap: settings.limits.send_cap.clamp(1, u32::from(u16::MAX)) as u16,
+    pub fn new(now: Micros, settings: Settings, names: &[String], seed: u64) -> Manager {
+        let mut manager = Manager {
+            generations: Generations::new(named(&settings, names)),
+            send_cap: send_cap(&settings),
             module: Gateway::new(nanos(now), settings, seed),
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -214,8 +214,32 @@
             most_statements: usize::MAX,
             next_id: 0,
             acts: Vec::new(),
-            names: Vec::new(),
             counters: Counters::default(),
+        };
+        manager.list_classes(names);
+        manager
+    }
+
+    /// New settings, with the names of their classes: for all that comes from now on. What is open keeps its class
+    /// and its number of attempts.
+    pub fn retune(&mut self, settings: Settings, names: &[String]) {
+        let fresh = self.generations.next(named(&settings, names));
+        let fresh: Vec<_> = fresh.iter().map(|fresh| (fresh.slot, fresh.heir_of)).collect();
+        let classes = self.generations.slots().map(|(class, _)| class.spec.clone()).collect();
+        self.send_cap = send_cap(&settings);
+        self.module.retune(Settings { classes, ..settings }, &fresh);
+        self.list_classes(names);
+    }
+
+    /// The classes by their ids, and whether each is in force.
+    pub fn classes(&self) -> Vec<(Class, bool)> {
+        self.generations.slots().map(|(class, in_force)| (class.clone(), in_force)).collect()
+    }
+
+    /// A class has its figures from the start on.
+    fn list_classes(&mut self, names: &[String]) {
+        for name in names {
+            self.counters.classes.entry(name.as_str().into()).or_default();
         }
     }
 
@@ -224,14 +248,6 @@
         self.most_statements = bytes;
     }
 
-    /// The classes are called so; their answers are counted under these names.
-    pub fn name_classes(&mut self, names: &[String]) {
-        self.names = names.iter().map(|name| name.as_str().into()).collect();
-        for name in &self.names {
-            self.counters.classes.entry(name.clone()).or_default();
-        }
-    }
-
     /// Counts a final answer.
     fn count(&mut self, class: ClassId, answer: &Answer) {
         match answer {
@@ -243,8 +259,8 @@
     }
 
     fn tally(&mut self, class: ClassId, answer: &Answer) {
-        let Some(name) = self.names.get(usize::from(class.0)) else { return };
-        let tally = self.counters.classes.entry(name.clone()).or_default();
+        let Some(class) = self.generations.class(class) else { return };
+        let tally = self.counters.classes.entry(class.name.clone()).or_default();
         match answer {
             Answer::Served(_) => tally.success += 1,
             Answer::Refused(_) => tally.overload += 1,
@@ -305,7 +321,7 @@
         self.counters.taken += 1;
         // Guards the rule of one answer: a second request under a mark that is still open would take the
         // first one's answer.
-        if self.origins.contains_key(&ask.origin) || usize::from(ask.class.0) >= self.classes.len() {
+        if self.origins.contains_key(&ask.origin) || self.generations.class(ask.class).is_none() {
             return self.turn_down(&ask, Answer::Failed(Failure::NotSent), orders);
         }
         // Guards the rules on attempts and answers: engines and clients tell requests apart by their names, and
@@ -332,11 +348,13 @@
             group: statement::group(&ask.statement, ask.session.as_ref().and_then(|s| s.database.as_deref())),
             repeated: ask.repeated,
         });
+        self.generations.opened(ask.class);
         self.origins.insert(ask.origin, id);
         self.deadlines.insert((ask.give_up_at + GUARD, id));
         let open = Open {
             ask,
             sends: 0,
+            most_sends: self.send_cap,
             out: None,
             may_have_run: false,
             memory_mb: 0.0,
@@ -419,7 +437,7 @@
 
     /// How long a client waits at most.
     pub fn longest_deadline(&self) -> Micros {
-        self.classes.iter().map(|class| micros(class.deadline)).max().unwrap_or(0)
+        self.generations.slots().map(|(class, _)| micros(class.spec.deadline)).max().unwrap_or(0)
     }
 
     /// The program is about to be killed: gives up what is open, refused where that is honest, since another
@@ -522,14 +540,14 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.sends);
         open.sends = open.sends.saturating_add(1);
-        let class = &self.classes[usize::from(open.ask.class.0)];
+        let Some(Class { name, spec: class }) = self.generations.class(open.ask.class) else { return };
         let again = class.effect == Effect::Safe || !open.may_have_run;
         let once = class.effect == Effect::Unsafe;
         let until = match timeout {
             0 => open.ask.give_up_at,
             t => open.ask.give_up_at.min(now + micros(t)),
         };
-        let may = ready && again && open.sends <= self.send_cap && open.out.is_none() && !open.closed;
+        let may = ready && again && open.sends <= open.most_sends && open.out.is_none() && !open.closed;
         if !may || until <= now {
             self.counters.stopped += 1;
             let (kind, load, closed) = (OutcomeKind::Moot, LoadReport::default(), open.closed);
@@ -540,7 +558,7 @@
         self.counters.attempts += 1;
         open.out = Some(Out { engine, attempt, sent_at: now, until, stopping: None });
         self.deadlines.insert((until, id));
-        let (key, class, statement) = (open.ask.key.clone(), open.ask.class, open.ask.statement.clone());
+        let (key, class, statement) = (open.ask.key.clone(), name.clone(), open.ask.statement.clone());
         let (session, memory_mb) = (open.ask.session.clone(), open.memory_mb);
         let job = Job { id, attempt, key, class, once, statement, session, until, memory_mb };
         orders.push(Order::Start(engine, job));
@@ -559,7 +577,7 @@
 
     fn refuse(&mut self, id: RequestId, after: Micros, orders: &mut Vec<Order>) {
         let Some(open) = self.open.get(&id).filter(|open| !open.closed) else { return };
-        let class = &self.classes[usize::from(open.ask.class.0)];
+        let Some(Class { spec: class, .. }) = self.generations.class(open.ask.class) else { return };
         // Guards rule 2: a refusal promises that trying again is harmless.
         if class.effect != Effect::Safe && (open.may_have_run || open.out.is_some()) {
             self.counters.stopped += 1;
@@ -592,6 +610,7 @@
             return;
         }
         let Some(open) = self.open.remove(&id) else { return };
+        self.generations.closed(open.ask.class);
         self.statements -= open.ask.statement.len();
         self.past_keys.push_back(open.ask.key);
         if self.past_keys.len() > MOST_PAST_KEYS {
@@ -600,6 +619,17 @@
     }
 }
 
+/// The classes of the settings under their names.
+fn named(settings: &Settings, names: &[String]) -> Vec<Class> {
+    let class =
+        |(spec, name): (&ClassSpec, &String)| Class { name: name.as_str().into(), spec: spec.clone() };
+    settings.classes.iter().zip(names).map(class).collect()
+}
+
+fn send_cap(settings: &Settings) -> u16 {
+    settings.limits.send_cap.clamp(1, u32::from(u16::MAX)) as u16
+}
+
 #[cfg(test)]
 #[path = "../../tests/inside/manager.rs"]
 mod model;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,7 +3,10 @@
 use super::engine::ToEngine;
 use super::{Shared, until};
 use crate::clock::{self, MS, Micros};
-use crate::interface::{ClassId, EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, TenantSpec};
+use crate::generations::Class;
+use crate::interface::{
+    ClassId, EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, Settings, TenantSpec,
+};
 use crate::log;
 use crate::manager::ends::{End, Reach};
 use crate::manager::{Answer, Ask, Ended, Manager, Order, Origin};
@@ -51,6 +54,9 @@
     },
     /// News of the list, and the actors of new engines.
     List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>),
+    /// New settings with the names of their classes; told back are all classes by their ids, and whether each is
+    /// in force.
+    Retune(Box<Settings>, Vec<String>, Sender<Vec<(Class, bool)>>),
     /// The tenants' shares, as a new configuration or the directory has them.
     Tenants(Vec<TenantSpec>),
     /// The directory was read.
@@ -134,6 +140,10 @@
                 self.engines.extend(actors);
                 manager.list(now, kind, entries, orders);
             }
+            Input::Retune(settings, names, done) => {
+                manager.retune(*settings, &names);
+                let _ = done.try_send(manager.classes());
+            }
             Input::Tenants(tenants) => manager.tenants(&tenants),
             Input::DirectoryRead => manager.counters.directory_readings += 1,
             Input::Reloaded(true) => manager.counters.reloads += 1,
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,15 +1,19 @@
-//! A new configuration while the program runs, on SIGHUP: what can change does, requests and engines stay. A file
-//! that can't be used leaves everything as it was.
+//! A new configuration while the program runs, on SIGHUP: all of it is read and checked, then applied as one new
+//! generation; requests and engines stay. A file that can't be used leaves everything as it was.
 use super::Shared;
 use super::coordinator::Move;
 use super::core::Input;
 use super::list::parse_known;
-use crate::config::{self, Config, Names};
+use crate::clock::micros;
+use crate::config::{self, Config, LiveNames, Names};
 use crate::deploy::{self, ClassRules, Users};
 use crate::front::clickhouse::Service;
+use crate::generations::Class;
+use crate::interface::Settings;
 use crate::log;
-use async_channel::Sender;
+use async_channel::{Sender, bounded};
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -30,8 +34,12 @@
 pub struct Reload {
     /// The configuration file.
     pub path: PathBuf,
-    /// The names in force, which only a restart changes.
-    pub names: Rc<Names>,
+    /// The names in force; only a restart changes others than those of classes.
+    pub names: LiveNames,
+    /// The settings in force.
+    pub settings: RefCell<Settings>,
+    /// The file in force.
+    pub text: RefCell<serde_json::Value>,
     /// Where clients connect, which only a restart changes.
     pub listen: SocketAddr,
     /// The second front, if there is one.
@@ -48,34 +56,74 @@
     /// Reads both files; only if both can be used is anything changed.
     pub async fn again(&self) -> Result<(), String> {
         let config = config::read(&self.path)?;
-        let (_, known) = parse_known(&config.known, &self.names)?;
+        if let Some(key) = config::lacks(&config.text, &self.text.borrow()) {
+            return Err(format!("{}: not whole: there is no {key}", self.path.display()));
+        }
+        let names = self.names.borrow().clone();
+        let (_, known) = parse_known(&config.known, &names)?;
+        let classes = config.names.classes.clone();
+        let next = Names { classes, dropped: BTreeSet::new(), ..(*names).clone() };
         let second = self.second.as_ref().map(|second| {
             let deploy = deploy::read(&second.path)?;
-            let users = Users::new(&deploy, &self.names)?;
-            Ok::<_, String>((second, ClassRules::new(&deploy, &self.names)?, users))
+            ClassRules::new(&deploy, &next)?;
+            let users = Users::new(&deploy, &next)?;
+            Ok::<_, String>((second, deploy, users))
         });
         let second = second.transpose()?;
-        if config.listen != self.listen || config.names != *self.names {
-            log!(
-                "another listen address, or other names in the settings, need a restart: the old ones stand"
-            );
+        if config.listen != self.listen || config.names != next {
+            log!("another address, or other names than those of classes, need a restart: the old ones stand");
         }
+        // From here on all of it is taken.
         self.shared.limit(config.limits.sockets, config.limits.memory_mb);
-        if let Some((second, rules, users)) = second {
-            *second.service.rules.borrow_mut() = rules;
+        let classes = self.retune(&config).await;
+        let names = Rc::new(Names {
+            classes: classes.iter().map(|(class, _)| class.name.to_string()).collect(),
+            dropped: (0..).zip(&classes).filter(|(_, (_, in_force))| !in_force).map(|(at, _)| at).collect(),
+            ..next
+        });
+        *self.names.borrow_mut() = names.clone();
+        if let Some((second, deploy, users)) = second {
+            let service = &second.service;
+            *service.deadlines.borrow_mut() = classes.iter().map(|(c, _)| micros(c.spec.deadline)).collect();
+            *service.loads.borrow_mut() = classes.iter().map(|(c, _)| c.spec.is_load).collect();
+            *service.rules.borrow_mut() = ClassRules::new(&deploy, &names)?;
             *second.file.borrow_mut() = users.clone();
             if !second.directory {
-                *second.service.users.borrow_mut() = users;
+                *service.users.borrow_mut() = users;
             }
         }
         self.shares(&config).await;
+        *self.text.borrow_mut() = config.text;
         let _ = self.coordinator.send(Move { addr: config.coordinator, known }).await;
         Ok(())
     }
 
+    /// Gives the module its new settings. Who it is, and what the places in lists mean, stands until a restart.
+    async fn retune(&self, config: &Config) -> Vec<(Class, bool)> {
+        let old = self.settings.borrow().clone();
+        let new = config.settings.clone();
+        let settings = Settings {
+            me: old.me,
+            gateways: old.gateways,
+            zone: old.zone,
+            tick: old.tick,
+            kinds: old.kinds,
+            tenants: old.tenants,
+            ask_for_list: old.ask_for_list,
+            load_fields: old.load_fields,
+            ..new
+        };
+        *self.settings.borrow_mut() = settings.clone();
+        let (done, told) = bounded(1);
+        let names = config.names.classes.clone();
+        let _ = self.core.send(Input::Retune(Box::new(settings), names, done)).await;
+        told.recv().await.unwrap_or_default()
+    }
+
     async fn shares(&self, config: &Config) {
         let theirs = self.second.as_ref().is_some_and(|second| second.directory);
-        if !theirs && config.names.tenants == self.names.tenants {
+        let same = config.names.tenants == self.names.borrow().tenants;
+        if !theirs && same {
             let _ = self.core.send(Input::Tenants(config.settings.tenants.clone())).await;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,7 @@
     pub over_share: bool,
     pub done: bool, // Answered; kept only while an attempt is out.
     pub sends: u32,
+    pub most_sends: u32, // As the settings had it when it came.
     pub out: Option<Out>,
     pub ran_on: Option<(EngineId, Nanos)>, // First engine that may have run it, and when it was sent there.
     pub tried: BTreeSet<EngineId>,
@@ -130,6 +131,7 @@
 }
 
 /// What a class has taught: work, and how far its hints lie off.
+#[derive(Clone, Copy)]
 pub struct Learned {
     pub work: f64,
     pub samples: u32,
@@ -137,6 +139,13 @@
     pub tail: f64, // Time of an answer over its expected time alone that few exceed.
 }
 
+impl Learned {
+    /// Until a class has taught its work, its fixed aim on all its threads is taken for it: pessimistic.
+    pub fn first(c: &ClassSpec, tail: f64) -> Learned {
+        Learned { work: secs(c.promise) * c.threads.max(1.0), samples: 0, bias: 1.0, tail }
+    }
+}
+
 pub struct Tenant {
     pub quota: f64,
     pub tokens: f64,
@@ -253,6 +262,15 @@
         listed.filter(|e| !e.ready() || e.health != Health::Closed).count()
     }
 
+    /// Drops a request that is over and has nothing out, and passes on its key's turn.
+    pub(crate) fn forget(&mut self, id: RequestId) {
+        let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
+        if let Some(k) = r.ask.key.and_then(|k| self.keys.get_mut(&k)) {
+            k.line.retain(|other| *other != id);
+        }
+        self.requests.remove(&id);
+    }
+
     pub(crate) fn class(&self, r: &Request) -> &ClassSpec {
         &self.s.classes[usize::from(r.ask.class.0)]
     }
--- a/tests/inside/clickhouse.rs
+++ b/tests/inside/clickhouse.rs
@@ -23,7 +23,7 @@
     let rules = ClassRules::new(&deploy, &names).expect("classes");
     let (databases, stopping, new_key) =
         (Box::new(|| true), Box::new(|| false), Box::new(|| "00ff".to_owned()));
-    let (deadlines, loads) = (vec![6 * SEC, 15 * SEC, 25 * SEC], vec![false, false, true]);
+    let (deadlines, loads) = (vec![6 * SEC, 15 * SEC, 25 * SEC].into(), vec![false, false, true].into());
     Front::new(
         9,
         Rc::new(Service { rules: rules.into(), users, deadlines, loads, databases, stopping, new_key }),
@@ -160,7 +160,7 @@
     for (text, expected) in cases {
         for step in 1..=text.len().max(1) {
             let mut engine = Engine::new(Rc::default());
-            let (id, attempt, class) = (RequestId(1), AttemptNo(0), ClassId(0));
+            let (id, attempt, class) = (RequestId(1), AttemptNo(0), "lookup".into());
             let (key, statement) = (Rc::from("k"), Rc::from(&b"select"[..]));
             let (session, until, memory_mb) = (None, 2 * SEC, 0.0);
             let job = Job { id, attempt, key, class, statement, once: false, session, until, memory_mb };
--- a/tests/inside/engine.rs
+++ b/tests/inside/engine.rs
@@ -1,12 +1,12 @@
 //! Which connection of an engine carries an attempt.
 use super::{Handle, bounded};
-use crate::interface::{AttemptNo, ClassId, RequestId};
+use crate::interface::{AttemptNo, RequestId};
 use crate::manager::Job;
 use std::cell::Cell;
 use std::rc::Rc;
 
 fn job(once: bool) -> Job {
-    let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), ClassId(0), 9_000_000);
+    let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), "lookup".into(), 9_000_000);
     let (key, statement, session) = ("k".into(), Rc::from(&b"select"[..]), None);
     Job { id, attempt, key, class, statement, session, once, until, memory_mb: 0.0 }
 }
--- a/tests/inside/jsonrpc.rs
+++ b/tests/inside/jsonrpc.rs
@@ -1,5 +1,6 @@
 //! The platform's protocol for clients without sockets: the same however the bytes are cut.
 use super::*;
+use crate::config::Names;
 use crate::kit::clients::rpc_line;
 use quickcheck::{Gen, QuickCheck};
 
@@ -7,7 +8,7 @@
     let named = |list: &[&str]| list.iter().map(|n| (*n).to_owned()).collect();
     let (classes, tenants) = (named(&["lookup", "load"]), named(&["acme", "other"]));
     let names = Names { classes, tenants, ..Names::default() };
-    JsonRpc::new(3, Rc::new(names), Rc::new(|| true))
+    JsonRpc::new(3, Rc::new(std::cell::RefCell::new(Rc::new(names))), Rc::new(|| true))
 }
 
 /// Requests, a withdrawal and a question come out once each, and what was withdrawn gets no answer.
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -4,7 +4,7 @@
 use super::{End, Event, Link, Reach};
 use crate::clock::{MS, Micros};
 use crate::config::Names;
-use crate::interface::{AttemptNo, ClassId, RequestId};
+use crate::interface::{AttemptNo, RequestId};
 use crate::manager::Job;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
@@ -91,7 +91,8 @@
             Step::Start if self.link.free() > 0 => {
                 self.started += 1;
                 let (id, key) = (RequestId(self.started), format!("{:016x}", self.started).into());
-                let (class, statement, until) = (ClassId(0), Rc::from(&b"select"[..]), self.now + 1_000 * MS);
+                let (class, statement, until) =
+                    ("lookup".into(), Rc::from(&b"select"[..]), self.now + 1_000 * MS);
                 let (attempt, memory_mb, session) = (AttemptNo(0), 0.0, None);
                 let job = Job { id, attempt, key, class, statement, once: false, session, until, memory_mb };
                 self.link.start(self.now, &job);
@@ -171,7 +172,7 @@
     let mut link = Link::new(0, Platform::new(Rc::new(names)));
     for id in 1..=2 {
         let (key, statement) = (format!("k{id}").into(), Rc::from(&b"select"[..]));
-        let (attempt, class, until) = (AttemptNo(0), ClassId(0), 9_000 * MS);
+        let (attempt, class, until) = (AttemptNo(0), "lookup".into(), 9_000 * MS);
         let job = Job {
             id: RequestId(id),
             attempt,
@@ -251,7 +252,7 @@
     for (waits, reach) in [(false, Reach::Begun), (true, Reach::Sent)] {
         let mut link = Link::new(0, Platform::new(Rc::new(Names { streams: 4, ..Names::default() })));
         let (key, statement, session) = ("k1".into(), Rc::from(&b"insert"[..]), None);
-        let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), ClassId(0), 9_000 * MS);
+        let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), "lookup".into(), 9_000 * MS);
         link.start(
             0,
             &Job { id, attempt, key, class, once: true, statement, session, until, memory_mb: 0.0 },
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -1,5 +1,5 @@
 //! The core under random steps: one answer for each request, never two attempts out, loads that may have run not
-//! sent again, and books that balance.
+//! sent again, and books that balance, whatever is configured meanwhile.
 use super::*;
 use crate::clock::{MS, SEC};
 use crate::settings;
@@ -11,6 +11,7 @@
     End(u8, End, bool),
     Leave(u8),
     List(u8),
+    Retune(u8),
     Wait(u16),
 }
 
@@ -18,11 +19,12 @@
     fn arbitrary(g: &mut Gen) -> Step {
         let ends = [End::Done, End::Full, End::Broke, End::Refused, End::Reset, End::Closed, End::Drained];
         let n = u8::arbitrary(g);
-        match u8::arbitrary(g) % 10 {
+        match u8::arbitrary(g) % 11 {
             0..=3 => Step::Ask(n),
             4..=6 => Step::End(n, *g.choose(&ends).expect("ends"), bool::arbitrary(g)),
             7 => Step::Leave(n),
             8 => Step::List(n),
+            9 => Step::Retune(n),
             _ => Step::Wait(u16::arbitrary(g) % 4_000),
         }
     }
@@ -31,10 +33,13 @@
 #[derive(Default)]
 struct Seen {
     load: bool,
+    class: String,
+    most: u32,
     out: Option<(AttemptNo, bool)>,
     may_have_run: bool,
     sends: u32,
     answers: u32,
+    how: Option<Answer>,
     left: bool,
 }
 
@@ -43,6 +48,9 @@
     now: Micros,
     seen: BTreeMap<u64, Seen>,
     ready: BTreeSet<EngineId>,
+    /// The classes in force with the effect of each, and how many attempts a request may have.
+    classes: Vec<(String, bool)>,
+    most: u32,
     ids: BTreeMap<RequestId, u64>,
 }
 
@@ -50,13 +58,37 @@
     EngineEntry { id: EngineId(id), readiness, weight: 1.0, ..EngineEntry::default() }
 }
 
+/// One of several files: classes dropped, added, and of another effect, and other numbers of attempts.
+fn file(n: u8) -> (Settings, Vec<(String, bool)>, u32) {
+    let mut text = crate::kit::daemon::settings();
+    let most = 3 - u32::from(n % 3);
+    text["limits"]["send_cap"] = most.into();
+    let classes = text["classes"].as_array_mut().expect("a list");
+    if n & 4 > 0 {
+        classes[0]["semantics"] = "side_effect".into();
+    }
+    if n & 8 > 0 {
+        let mut more = classes[1].clone();
+        (more["name"], more["semantics"]) = ("report-next".into(), "side_effect".into());
+        classes.push(more);
+    }
+    if n & 16 > 0 {
+        classes.remove(1);
+    }
+    let named = |c: &serde_json::Value| {
+        (c["name"].as_str().expect("a name").to_owned(), c["semantics"] == "side_effect")
+    };
+    let named = classes.iter().map(named).collect();
+    (settings::parse(text.to_string().as_bytes()).expect("settings"), named, most)
+}
+
 impl Model {
     fn new() -> Model {
-        let text = crate::kit::daemon::settings().to_string();
-        let settings = settings::parse(text.as_bytes()).expect("the kit's settings");
-        let manager = Manager::new(SEC, settings, 7);
+        let (settings, classes, most) = file(0);
+        let names: Vec<String> = classes.iter().map(|(name, _)| name.clone()).collect();
+        let manager = Manager::new(SEC, settings, &names, 7);
         let (seen, ids) = (BTreeMap::new(), BTreeMap::new());
-        let mut model = Model { manager, now: SEC, seen, ready: BTreeSet::new(), ids };
+        let mut model = Model { manager, now: SEC, seen, ready: BTreeSet::new(), classes, most, ids };
         model.ready = (1..=3).map(EngineId).collect();
         let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
         let mut orders = Vec::new();
@@ -72,7 +104,12 @@
                     let tag = u64::from_str_radix(&job.key, 16).map_err(|e| e.to_string())?;
                     let seen = self.seen.get_mut(&tag).ok_or("a send for nobody")?;
                     let again = !(seen.load && seen.may_have_run);
-                    if seen.out.is_some() || !again || seen.answers > 0 || seen.left || seen.sends >= 3 {
+                    if seen.out.is_some()
+                        || !again
+                        || seen.answers > 0
+                        || seen.left
+                        || seen.sends >= seen.most
+                    {
                         return Err(format!("{tag} must not be sent"));
                     }
                     if !self.ready.contains(&engine) {
@@ -89,6 +126,7 @@
                 Order::Answer(origin, answer) => {
                     let seen = self.seen.get_mut(&origin.tag).ok_or("an answer for nobody")?;
                     seen.answers += 1;
+                    seen.how = Some(answer.clone());
                     if seen.answers > 1 || seen.left {
                         return Err(format!("{origin:?} got an answer too many"));
                     }
@@ -120,12 +158,13 @@
         match step {
             Step::Ask(n) => {
                 let tag = self.seen.len() as u64 + 1;
-                let class = u16::from(n % 3);
-                self.seen.insert(tag, Seen { load: class == 2, ..Seen::default() });
+                let (class, load) = self.classes[usize::from(*n) % self.classes.len()].clone();
+                let id = self.manager.generations.find(&class).ok_or("a class in force has no slot")?;
+                self.seen.insert(tag, Seen { load, class, most: self.most, ..Seen::default() });
                 let ask = Ask {
                     origin: Origin { conn: u64::from(n % 4), tag },
                     key: format!("{tag:016x}").into(),
-                    class: ClassId(class),
+                    class: id,
                     tenant: TenantId(u16::from(n % 2)),
                     give_up_at: self.now + u64::from(*n) * 20 * MS,
                     cost: Some(50 * MS),
@@ -172,6 +211,12 @@
                 };
                 self.manager.list(self.now, ListKind::Changes, vec![entry(id, readiness)], &mut orders);
             }
+            Step::Retune(n) => {
+                let (settings, classes, most) = file(*n);
+                let names: Vec<String> = classes.iter().map(|(name, _)| name.clone()).collect();
+                self.manager.retune(settings, &names);
+                (self.classes, self.most) = (classes, most);
+            }
             Step::Wait(ms) => {
                 let until = self.now + u64::from(*ms) * MS;
                 while let Some(at) = self.manager.next_due().filter(|at| *at <= until) {
@@ -199,6 +244,22 @@
         if open > 0 || counters.open() > 0 || !model.manager.open.is_empty() {
             return Err(format!("{open} without an answer; {counters}"));
         }
+        // The figures by class are the answers given.
+        for (class, tally) in &counters.classes {
+            let answers = |is: fn(&Answer) -> bool| {
+                let mine = model.seen.values().filter(|s| *s.class == **class);
+                mine.filter(|s| s.how.as_ref().is_some_and(is)).count() as u64
+            };
+            let told = (tally.success, tally.overload, tally.error);
+            let given = (
+                answers(|a| matches!(a, Answer::Served(_))),
+                answers(|a| matches!(a, Answer::Refused(_))),
+                answers(|a| matches!(a, Answer::Failed(_))),
+            );
+            if told != given {
+                return Err(format!("{class}: told {told:?}, given {given:?}"));
+            }
+        }
         Ok(counters.taken == model.seen.len() as u64)
     }
     let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(80, 13)).tests(500);
