--- a/tests/inside/generations.rs
+++ b/tests/inside/generations.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 fn class(name: u8, kind: u8) -> Class {
-    let effect = if kind % 2 == 0 { Effect::Safe } else { Effect::Unsafe };
+    let effect = if kind.is_multiple_of(2) { Effect::Safe } else { Effect::Unsafe };
     let spec = ClassSpec {
         worth: 1.0,
         late_worth: 0.1,
