Hand the clients' listeners over to a new version under load

Need: a second process could not listen on the clients' address and exited with 1 (upgrade 0.00, broken). Change: with a console the process that runs passes its listening descriptors over a socket in TMPDIR; both accept from one line; the old one lets its kept connections go, answers all and leaves; limits and shares are split meanwhile. Ruled out: SO_REUSEPORT alone, which resets the closing line; it is the fallback. Open: the old process stays until it gives up what is open, 5.45 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -458,7 +458,7 @@
     fn cold_allows(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
         let (rules, warmth) = (&self.s.rules, e.warmth(now, &self.s.rules));
         let rate = rules.fall_multiple * warmth * e.cores * USUAL_BUSY * COLD_MARGIN;
-        let budget = rate * secs(rules.fall_window);
+        let budget = self.part * rate * secs(rules.fall_window);
         let part = budget / f64::from(self.s.gateways.max(1));
         let from = now.saturating_sub(rules.fall_window);
         let weight = self.cold_weight(r);
@@ -1011,7 +1011,7 @@
         let has_turn = |e: &&&Engine| {
             let cold = e.warmth(now, &self.s.rules) < 1.0;
             let slot = if cold { self.s.rules.fall_window / COLD_SLOTS } else { TURN };
-            let holds = |across| self.has_slot(now, e, slot, e.bound, across);
+            let holds = |across| self.has_slot(now, e, slot, e.bound * self.part, across);
             holds(0.0) || (cold && holds(0.5))
         };
         let mut stretches: Vec<f64> = ready.iter().map(|e| e.stretch).collect();
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! It is the one source of what `status` and `GET /ready` say, of whether the listeners accept, and of when a kept
 //! connection of a client is let go.
+pub mod words;
+
 use crate::clock::{MS, Micros};
 
 /// Clients still come this long after the first no: the front asks ten times a second, and then takes 0.2 s.
@@ -15,6 +17,16 @@
 /// How long after it was asked to end the program goes on taking requests: connections that clients are making
 /// then still bring some.
 const LINGER: Micros = 900 * MS;
+/// So long a connection that is to be let go has to have been quiet: one that was just answered, one that never
+/// asked; and so long this is waited for.
+const REST: Micros = 40 * MS;
+const FIRST_REST: Micros = 300 * MS;
+const PATIENCE: Micros = 800 * MS;
+/// What is open is given up this long after the request to end and the longest deadline, which counts as at most so
+/// much; more where a successor lives.
+const LAST_CALL: Micros = 450 * MS;
+const LONGEST: Micros = 3_000 * MS;
+const LONGEST_OVER: Micros = 5_000 * MS;
 /// Spreads numbers of connections evenly.
 const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -33,28 +45,36 @@
     Stopping,
 }
 
-/// What else lives under the same name.
+/// A process that follows this one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Other {
-    /// Nothing.
+pub enum Next {
+    /// There is none.
     #[default]
     None,
-    /// The process that this one follows.
-    Predecessor,
-    /// One that follows this one, and has the clients' listener too, or not.
-    Successor {
-        /// What waits to be accepted is its to accept.
-        shares: bool,
-    },
+    /// It has the clients' listener and gets ready.
+    Coming,
+    /// It serves.
+    Ready,
 }
 
 /// The machine.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lifecycle {
     listed: bool,
     drained_at: Option<Micros>,
     stopping_at: Option<Micros>,
-    other: Other,
+    /// The part of the manager that older processes still have.
+    older: f64,
+    next: Next,
+    /// What is left of the work that was open when it was asked to end, as a part of it.
+    left: f64,
+}
+
+impl Default for Lifecycle {
+    fn default() -> Lifecycle {
+        let (drained_at, stopping_at) = (None, None);
+        Lifecycle { listed: false, drained_at, stopping_at, older: 0.0, next: Next::None, left: 1.0 }
+    }
 }
 
 impl Lifecycle {
@@ -81,27 +101,29 @@
         self.stopping_at = self.stopping_at.or(Some(now));
     }
 
-    /// Another process of this name came, or went. One that was asked to end takes no further successor into
-    /// account: what it owes is settled.
-    pub fn meets(&mut self, other: Other) {
-        if self.stopping_at.is_none() || other == Other::None {
-            self.other = other;
-        }
+    /// Older processes of this name have that part of the manager; none once they are gone.
+    pub fn follows(&mut self, part: f64) {
+        self.older = if part.is_finite() { part.clamp(0.0, 1.0) } else { 0.0 };
     }
 
-    /// What else lives under this name.
-    pub fn other(&self) -> Other {
-        self.other
+    /// A process that follows this one came, is ready, or went.
+    pub fn followed(&mut self, next: Next) {
+        self.next = next;
+    }
+
+    /// Asked to end, it has that part of its work left.
+    pub fn fades(&mut self, left: f64) {
+        self.left = if left.is_finite() { left.clamp(0.0, self.left) } else { self.left };
     }
 
     /// Where it stands.
     pub fn stage(&self) -> Stage {
-        match (self.stopping_at, self.drained_at, self.listed, self.other) {
+        match (self.stopping_at, self.drained_at, self.listed, self.next) {
             (Some(_), ..) => Stage::Stopping,
             (_, Some(_), ..) => Stage::Draining,
             (_, _, false, _) => Stage::Starting,
-            (_, _, _, Other::Successor { .. }) => Stage::HandingOver,
-            (_, _, true, Other::None | Other::Predecessor) => Stage::Ready,
+            (_, _, true, Next::Ready) => Stage::HandingOver,
+            (_, _, true, Next::None | Next::Coming) => Stage::Ready,
         }
     }
 
@@ -110,6 +132,16 @@
         matches!(self.stage(), Stage::Ready | Stage::HandingOver)
     }
 
+    /// Whether it can serve, also if operators send its clients away.
+    pub fn serves(&self) -> bool {
+        self.listed && self.stopping_at.is_none()
+    }
+
+    /// Whether operators sent its clients away.
+    pub fn drained(&self) -> bool {
+        self.drained_at.is_some()
+    }
+
     /// Whether it was asked to end.
     pub fn stopping(&self) -> bool {
         self.stopping_at.is_some()
@@ -118,7 +150,7 @@
     /// Until when it accepts connections: forever unless it was asked to end. With a successor at the same line
     /// nothing that waits there is lost.
     pub fn accepts_until(&self) -> Option<Micros> {
-        let linger = if self.other == (Other::Successor { shares: true }) { 0 } else { LINGER };
+        let linger = if self.next == Next::Ready { 0 } else { LINGER };
         self.stopping_at.map(|at| at + linger)
     }
 
@@ -126,8 +158,8 @@
     pub fn lets_go_at(&self, conn: u64) -> Option<Micros> {
         let spread = |most: Micros| conn.wrapping_mul(MIX) % most;
         let drained = self.drained_at.map(|at| at + LEARNS + spread(SPREAD));
-        let followed = matches!(self.other, Other::Successor { .. });
-        let stopped = self.stopping_at.filter(|_| followed).map(|at| at + spread(SPREAD_OVER));
+        let stopped =
+            self.stopping_at.filter(|_| self.next == Next::Ready).map(|at| at + spread(SPREAD_OVER));
         drained.into_iter().chain(stopped).min()
     }
 
@@ -136,9 +168,43 @@
         self.drained_at.is_some_and(|at| at + CLOSES <= now)
     }
 
+    /// How long a connection that is to be let go has to have been quiet: a client that just connected, or just got
+    /// an answer, is likely to ask. Longer it is not held back.
+    pub fn rest(&self, conn: u64, now: Micros, useful: bool) -> Micros {
+        match self.lets_go_at(conn) {
+            Some(at) if now < at + PATIENCE => {
+                if useful {
+                    REST
+                } else {
+                    FIRST_REST
+                }
+            }
+            _ => 0,
+        }
+    }
+
+    /// Whether the process that follows this one takes the clients: then it ends once it holds none.
+    pub fn handed_over(&self) -> bool {
+        self.stopping_at.is_some() && self.next == Next::Ready
+    }
+
+    /// When what is still open is given up, so that its client hears of it before the kill, which comes no sooner
+    /// than the longest deadline, within the bounds of the platform, and 0.7 s more.
+    pub fn gives_up_at(&self, longest: Micros) -> Option<Micros> {
+        let most = if self.next == Next::Ready { LONGEST_OVER } else { LONGEST };
+        self.stopping_at.map(|at| at + longest.min(most) + LAST_CALL)
+    }
+
     /// What part of the limits and shares of this manager is this process's.
     pub fn part(&self) -> f64 {
-        if self.other == Other::None { 1.0 } else { 0.5 }
+        let mine = if self.next == Next::Ready { 0.5 * self.left } else { 1.0 };
+        (1.0 - self.older) * mine
+    }
+
+    /// What part a process that follows this one has to leave to those before it.
+    pub fn leaves(&self) -> f64 {
+        let mine = if self.next == Next::Ready { self.part() } else { (1.0 - self.older) * 0.5 };
+        (self.older + mine).min(1.0)
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,12 @@
 #![forbid(unsafe_code)]
 
 use async_channel::bounded;
-use async_io::{Timer, block_on};
+use async_io::{Async, Timer, block_on};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -23,7 +25,7 @@
 use yokelift::net::core::Input;
 use yokelift::net::list::Http;
 use yokelift::net::reload::{Reload, Second};
-use yokelift::net::{self, Shared, client, coordinator, core, directory, list};
+use yokelift::net::{self, Shared, client, coordinator, core, directory, handover, list};
 use yokelift::{clock, log};
 
 /// Without a word of the coordinator for so long the list of the start has to do.
@@ -78,8 +80,23 @@
 
 fn serve(config: Config, deploy: Option<Deploy>, files: Files) -> Result<(), String> {
     let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
-    let listener = client::bind(config.listen)
-        .map_err(|e| format!("{}: can't listen on {}: {e}", config.name, config.listen))?;
+    // With an address for operators there may be a process that this one follows, or one that will follow it.
+    let place = config.console.and_then(|_| handover::place(&config.name));
+    let mut taken = place.as_deref().and_then(|place| block_on(handover::ask(place, &config.name)));
+    let mut listen_at = |addr: SocketAddr| {
+        let passed = taken.as_mut().and_then(|taken| taken.listeners.remove(&addr));
+        let listener = match (passed, config.console) {
+            (Some(listener), _) => Async::new(listener),
+            (None, Some(_)) => client::bind_shared(addr),
+            (None, None) => client::bind(addr),
+        };
+        listener.map_err(|e| format!("{}: can't listen on {addr}: {e}", config.name))
+    };
+    let listener = listen_at(config.listen)?;
+    let second_listener = deploy.as_ref().map(|d| listen_at(d.listen)).transpose()?;
+    let passed = [Some(&listener), second_listener.as_ref()].into_iter().flatten();
+    let passed = passed.map(|l| Ok((l.get_ref().local_addr()?, l.as_fd().try_clone_to_owned()?)));
+    let passed = passed.collect::<std::io::Result<Vec<_>>>().map_err(|e| format!("the listeners: {e}"))?;
     let console = config.console.map(|at| {
         let bound = client::bind(at);
         bound.map_err(|e| format!("{}: can't listen on the console {at}: {e}", config.name))
@@ -90,10 +107,6 @@
     let names = Rc::new(config.names.clone());
     let http = deploy.as_ref().map(|d| http_engines(d, &names)).transpose()?.unwrap_or_default();
     let second = deploy.as_ref().map(|d| service(d, &config, &names, &shared)).transpose()?.map(Rc::new);
-    let second_listener = deploy
-        .as_ref()
-        .map(|d| client::bind(d.listen).map_err(|e| format!("can't listen on {}: {e}", d.listen)));
-    let second_listener = second_listener.transpose()?;
     let (last, known) = list::parse_known(&config.known, &names)?;
 
     let tenants = Tenants::new(&names, config.settings.tenants.clone());
@@ -135,10 +148,43 @@
         shared.spawn(net::console::listen(shared.clone(), console));
         shared.spawn(client::let_go(shared.clone()));
     }
+    let starts = bounded::<()>(1);
+    if let Some(taken) = taken {
+        // The process before this one accepts what comes until this one serves.
+        let mut life = shared.life.borrow_mut();
+        life.follows(taken.leave);
+        if taken.drained {
+            life.drain(clock::turn());
+        }
+        let (starts, place, name) = (starts.0.clone(), place.clone(), config.name.clone());
+        let all = shared.clone();
+        let serves = move || {
+            starts.close();
+            if let Some(place) = place {
+                let older = handover::Older { place, name, listeners: passed };
+                all.clone().spawn(handover::listen(all, older));
+            }
+        };
+        shared.spawn(handover::follow(shared.clone(), taken, serves));
+    } else {
+        starts.0.close();
+        if let Some(place) = place {
+            let older = handover::Older { place, name: config.name.clone(), listeners: passed };
+            shared.spawn(handover::listen(shared.clone(), older));
+        }
+    }
+    if config.console.is_some() {
+        shared.spawn(handover::split(shared.clone(), core.clone()));
+    }
+    let starts = starts.1;
     let flags = shared.clone();
     let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.life.borrow().ready());
     let front = move |conn| JsonRpc::new(conn, live.clone(), ready.clone());
-    shared.spawn(client::listen(shared.clone(), core.clone(), listener, front));
+    let (all, module, start) = (shared.clone(), core.clone(), starts.clone());
+    shared.spawn(async move {
+        let _ = start.recv().await;
+        client::listen(all, module, listener, front).await;
+    });
     if let (Some(service), Some(listener), Some(deploy)) = (second, second_listener, deploy) {
         let file = Rc::new(RefCell::new(service.users.borrow().clone()));
         let directory = deploy.directory.is_some();
@@ -156,6 +202,7 @@
                 let pause = reader.once().await;
                 all.spawn(reader.run(pause));
             }
+            let _ = starts.recv().await;
             client::listen(all, core, listener, front).await;
         });
     }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -316,6 +316,11 @@
         self.module.set_tenants(tenants);
     }
 
+    /// That part of what this manager may use of the engines is this process's.
+    pub fn split(&mut self, part: f64) {
+        self.module.split(part);
+    }
+
     /// A request came in.
     pub fn take(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
         self.counters.taken += 1;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future::{or, yield_now};
 use futures_lite::{AsyncWriteExt, StreamExt};
+use rustix::net::SocketFlags;
 use std::cell::Cell;
 use std::collections::VecDeque;
 use std::io;
@@ -77,6 +78,9 @@
     loop {
         Timer::after(LOOK).await;
         let (now, life) = (clock::turn(), shared.life.borrow());
+        if life.handed_over() {
+            shared.accepting.0.close();
+        }
         for (conn, standing) in shared.clients.borrow().iter() {
             let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
             if standing.leaving.replace(leaving) != leaving {
@@ -94,6 +98,19 @@
     Ok(listener)
 }
 
+/// The same at an address that a process of a newer version may share.
+pub fn bind_shared(addr: SocketAddr) -> io::Result<Async<TcpListener>> {
+    use rustix::net::{AddressFamily, SocketType, sockopt};
+    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    rustix::net::bind(&socket, &addr)?;
+    let listener = Async::new(TcpListener::from(socket))?;
+    rustix::net::listen(&listener, LINE)?;
+    Ok(listener)
+}
+
 /// Accepts connections; `front` makes the protocol of each.
 pub async fn listen<F: Front + 'static>(
     shared: Rc<Shared>,
@@ -102,7 +119,13 @@
     front: impl Fn(u64) -> F,
 ) {
     let mut incoming = Box::pin(listener.incoming());
-    while let Some(stream) = incoming.next().await {
+    let closed = shared.accepting.1.clone();
+    loop {
+        let none = async {
+            let _ = closed.recv().await;
+            None
+        };
+        let Some(stream) = or(incoming.next(), none).await else { break };
         match stream {
             Ok(stream) => {
                 let conn = shared.next_conn.get();
@@ -241,9 +264,14 @@
             let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
             // One that has something open by now stays.
             let quiet = self.front.began().is_none() && self.front.held() == 0 && !unread;
+            let now = clock::now();
+            let rests = quiet && standing.leaving.get();
+            let rests_until =
+                rests.then(|| active_at + self.shared.life.borrow().rest(self.conn, now, useful));
+            let due = due.into_iter().chain(rests_until.filter(|at| idle && *at > now)).min();
             let shed = async {
-                match (idle, standing.leaving.get()) {
-                    (true, true) if quiet => {}
+                match (idle, rests_until.is_some_and(|at| at <= now)) {
+                    (true, true) => {}
                     (true, _) => drop(shedding.recv().await),
                     (false, _) => std::future::pending().await,
                 }
@@ -278,10 +306,12 @@
                 }
                 Turn::Shed if shedding.is_closed() => return End::Overflow,
                 // Guards a request that has come and is not read yet: a close would reset it.
-                Turn::Shed if standing.leaving.get() && quiet => match self.stream.get_ref().peek(&mut [0]) {
-                    Ok(n) if n > 0 => unread = true,
-                    _ => return End::Idle,
-                },
+                Turn::Shed if rests_until.is_some_and(|at| at <= now) => {
+                    match self.stream.get_ref().peek(&mut [0]) {
+                        Ok(n) if n > 0 => unread = true,
+                        _ => return End::Idle,
+                    }
+                }
                 Turn::Shed => {}
                 Turn::Answer(None) => return End::Overflow,
                 Turn::Wrote(Ok(n)) => {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -22,11 +22,6 @@
 /// Figures for operators are put down this often at most.
 const FIGURES_EVERY: Micros = 100 * MS;
 
-/// The kill comes no sooner than the longest deadline, or this if it is longer, and 0.7 s more; what is open
-/// shortly before that is given up, so that its client hears of it.
-const LONGEST: Micros = 3_000 * MS;
-const LAST_CALL: Micros = 450 * MS;
-
 /// What the module's actor is told.
 pub enum Input {
     /// A client connected; its answers go there.
@@ -67,6 +62,8 @@
     Reloaded(bool),
     /// Print the counters.
     Report,
+    /// That part of the manager is this process's.
+    Part(f64),
     /// End once all is answered.
     Stop,
 }
@@ -76,19 +73,21 @@
     clients: HashMap<u64, Sender<(u64, Answer)>>,
     engines: HashMap<EngineId, Sender<ToEngine>>,
     orders: Vec<Order>,
-    /// When to answer what is still open at the end.
-    last_at: Option<Micros>,
+    /// What was still open at the end has been answered.
+    ended: bool,
 }
 
 /// Runs until it was asked to stop and all is answered.
 pub async fn run(shared: Rc<Shared>, manager: Manager, mailbox: Receiver<Input>) -> Manager {
     let (clients, engines) = (HashMap::new(), HashMap::new());
-    let mut core = Core { manager, clients, engines, orders: Vec::new(), last_at: None };
+    let mut core = Core { manager, clients, engines, orders: Vec::new(), ended: false };
     let mut figures_at = 0;
     loop {
         let stop_at = shared.life.borrow().accepts_until();
         let stop_due = stop_at.map(|at| at.max(clock::now() + 5 * MS));
-        let due = core.manager.next_due().into_iter().chain(stop_due).chain(core.last_at).min();
+        let life = || shared.life.borrow();
+        let last_at = life().gives_up_at(core.manager.longest_deadline()).filter(|_| !core.ended);
+        let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
             None
@@ -100,8 +99,8 @@
             core.input(now, input);
         }
         core.manager.due(now, &mut core.orders);
-        if core.last_at.is_some_and(|at| at <= now) {
-            core.last_at = None;
+        if last_at.is_some_and(|at| at <= now) {
+            core.ended = true;
             core.manager.end_all(now, &mut core.orders);
         }
         if shared.console.get() && now >= figures_at + FIGURES_EVERY {
@@ -113,7 +112,9 @@
         // not written yet.
         let handed_on = shared.unwritten.get() == 0 && core.clients.values().all(Sender::is_empty);
         let quiet = core.manager.counters.open() == 0 && mailbox.is_empty() && handed_on;
-        if quiet && stop_at.is_some_and(|at| at <= now) {
+        // Behind a successor clients go on to use the connections that they keep.
+        let kept = life().handed_over() && shared.client_sockets.get() > 0 && !core.ended;
+        if quiet && !kept && stop_at.is_some_and(|at| at <= now) {
             return core.manager;
         }
     }
@@ -145,14 +146,12 @@
                 let _ = done.try_send(manager.classes());
             }
             Input::Tenants(tenants) => manager.tenants(&tenants),
+            Input::Part(part) => manager.split(part),
             Input::DirectoryRead => manager.counters.directory_readings += 1,
             Input::Reloaded(true) => manager.counters.reloads += 1,
             Input::Reloaded(false) => manager.counters.reload_failures += 1,
             Input::DirectoryFailed => manager.counters.directory_failures += 1,
             Input::Report => eprintln!("yokelift: {}", manager.counters),
-            Input::Stop if self.last_at.is_none() => {
-                self.last_at = Some(now + manager.longest_deadline().min(LONGEST) + LAST_CALL);
-            }
             Input::Stop => {}
         }
         self.dispatch(now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,17 +6,21 @@
 pub mod core;
 pub mod directory;
 pub mod engine;
+pub mod handover;
 pub mod list;
 pub mod reload;
 
 use crate::clock::{self, Micros};
 use crate::lifecycle::Lifecycle;
 use crate::manager::counters::Figures;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::io;
+use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 
 /// Bytes read from a socket at a time.
@@ -24,6 +28,10 @@
 
 /// What all actors of one program share.
 pub struct Shared {
+    /// Descriptors and megabytes that this manager may hold, all its processes together.
+    pub limits: Cell<(usize, u64)>,
+    /// Closed once the listeners are to accept no more.
+    pub accepting: (Sender<()>, Receiver<()>),
     /// Runs the actors.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Where the process stands.
@@ -67,6 +75,8 @@
     /// memory, an eighth for answers that wait for their clients and one for messages that are not whole.
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Shared> {
         let shared = Rc::new(Shared {
+            limits: Cell::new((sockets, memory_mb)),
+            accepting: async_channel::bounded(1),
             executor: Rc::new(LocalExecutor::new()),
             life: RefCell::default(),
             console: Cell::new(false),
@@ -92,6 +102,15 @@
 
     /// Sets the limits: those of the start, or new ones.
     pub fn limit(&self, sockets: usize, memory_mb: u64) {
+        self.limits.set((sockets, memory_mb));
+        self.split();
+    }
+
+    /// Takes this process's part of the limits, which is all of them while it is alone. The quarter of descriptors
+    /// that is neither for clients nor for engines holds the second address, the coordinator and the other process.
+    pub fn split(&self) {
+        let (part, (sockets, memory_mb)) = (self.life.borrow().part().max(0.1), self.limits.get());
+        let (sockets, memory_mb) = ((sockets as f64 * part) as usize, (memory_mb as f64 * part) as u64);
         self.most_engine_sockets.set((sockets / 4).max(4));
         self.most_client_sockets.set((sockets / 2).max(4));
         let part = ((memory_mb.clamp(8, 1 << 20) / 8) as usize) << 20;
@@ -118,6 +137,11 @@
     }
 }
 
+/// Reads what is there.
+pub async fn read_some(stream: &Async<UnixStream>, piece: &mut [u8]) -> io::Result<usize> {
+    stream.read_with(|stream| io::Read::read(&mut &*stream, piece)).await
+}
+
 /// Counts one more while it lives.
 pub struct Held(Rc<Cell<usize>>);
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,7 @@
     pub(crate) beats: f64, // Heard since the last one sent, and the smoothed share of others that live.
     pub(crate) alive: f64,
     pub(crate) sharers: f64, // Gateways taken to share the engines now.
+    pub(crate) part: f64,    // Of what this gateway may use, while another process is this gateway too.
     pub(crate) updated_at: Nanos,
     pub(crate) told_at: Nanos,
     pub(crate) turn_at: Nanos, // When it last had a turn, and when it last woke after having had none.
@@ -247,6 +248,7 @@
             beats: 0.0,
             alive: 1.0,
             sharers: f64::from(s.gateways.max(1)),
+            part: 1.0,
             updated_at: now,
             told_at: 0,
             turn_at: now,
@@ -262,6 +264,13 @@
         listed.filter(|e| !e.ready() || e.health != Health::Closed).count()
     }
 
+    /// Another process is this gateway too, and this one has that part of what the gateway may use.
+    pub fn split(&mut self, part: f64) {
+        let part = part.clamp(0.05, 1.0);
+        self.sharers *= self.part / part;
+        self.part = part;
+    }
+
     /// Drops a request that is over and has nothing out, and passes on its key's turn.
     pub(crate) fn forget(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
--- a/tests/inside/lifecycle.rs
+++ b/tests/inside/lifecycle.rs
@@ -9,29 +9,29 @@
     Drain,
     Undrain,
     Stop,
-    Meets(u8),
+    Follows(u8),
+    Followed(u8),
+    Fades(u8),
     Wait(u16),
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        match u8::arbitrary(g) % 8 {
+        match u8::arbitrary(g) % 11 {
             0 => Step::Listed,
             1 => Step::Drain,
             2 => Step::Undrain,
             3 if bool::arbitrary(g) => Step::Stop,
-            4 => Step::Meets(u8::arbitrary(g) % 4),
+            4 => Step::Followed(u8::arbitrary(g) % 3),
+            5 => Step::Follows(u8::arbitrary(g) % 5),
+            6 => Step::Fades(u8::arbitrary(g) % 5),
             _ => Step::Wait(u16::arbitrary(g) % 3_000),
         }
     }
 }
 
-fn other(n: u8) -> Other {
-    match n {
-        0 => Other::None,
-        1 => Other::Predecessor,
-        n => Other::Successor { shares: n == 2 },
-    }
+fn next(n: u8) -> Next {
+    [Next::None, Next::Coming, Next::Ready][usize::from(n)]
 }
 
 /// Guards every pair of purposes that may overlap, as a drain within an upgrade: what the machine says is what the
@@ -46,7 +46,9 @@
                 Step::Drain => life.drain(now),
                 Step::Undrain => drop(life.undrain()),
                 Step::Stop => life.stop(now),
-                Step::Meets(n) => life.meets(other(n)),
+                Step::Followed(n) => life.followed(next(n)),
+                Step::Follows(n) => life.follows(f64::from(n) / 4.0),
+                Step::Fades(n) => life.fades(f64::from(n) / 4.0),
                 Step::Wait(ms) => now += u64::from(ms) * MS,
             }
             past.push((now, step));
@@ -57,20 +59,25 @@
             let undrained =
                 upto(stop).iter().rposition(|(_, s)| matches!(s, Step::Undrain)).map_or(0, |at| at + 1);
             let drained = past[undrained..].iter().find(|(_, s)| matches!(s, Step::Drain)).map(|(at, _)| *at);
-            let met = |(at, (_, s)): (usize, &(Micros, Step))| match s {
-                Step::Meets(n) if stop.is_none_or(|stop| at < stop) || *n == 0 => Some(other(*n)),
-                _ => None,
-            };
-            let met = past.iter().enumerate().filter_map(met).next_back().unwrap_or_default();
-            let follows = matches!(met, Other::Successor { .. });
+            let last = |is: fn(&Step) -> Option<u8>| past.iter().rev().find_map(|(_, s)| is(s));
+            let met = last(|s| if let Step::Followed(n) = s { Some(*n) } else { None }).map(next);
+            let follows = met == Some(Next::Ready);
+            let older = last(|s| if let Step::Follows(n) = s { Some(*n) } else { None }).unwrap_or(0);
+            let fades = past.iter().filter_map(|(_, s)| if let Step::Fades(n) = s { Some(*n) } else { None });
+            let left = f64::from(fades.min().unwrap_or(4)) / 4.0;
+            let rest = 1.0 - f64::from(older) / 4.0;
+            let part = if follows { 0.5 * left * rest } else { rest };
             let stopped = stop.map(|at| past[at].0);
             let holds = [
                 life.ready() == (listed && drained.is_none() && stop.is_none()),
                 life.stopping() == stop.is_some(),
-                life.other() == met,
                 life.accepts_until().is_some() == stop.is_some(),
                 life.closes(now) == drained.is_some_and(|at| at + CLOSES <= now),
-                (life.part() < 1.0) == (met != Other::None),
+                (life.part() - part).abs() < 1e-9,
+                // Whoever follows has no more than what this one and those before it leave.
+                life.leaves() <= 1.0 + 1e-9 && (!follows || life.leaves() + 1e-9 >= 1.0 - rest + part),
+                life.accepts_until().is_none_or(|at| (at == stopped.unwrap_or(0)) == follows),
+                life.gives_up_at(9 * SEC) > life.accepts_until() || stop.is_none(),
                 // Let go only by a drain, or behind a successor, never before the front can know, all in time.
                 (0..50).all(|conn| match life.lets_go_at(conn) {
                     None => drained.is_none() && !(follows && stopped.is_some()),
