--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -27,6 +27,9 @@
 const LAST_CALL: Micros = 450 * MS;
 const LONGEST: Micros = 3_000 * MS;
 const LONGEST_OVER: Micros = 5_000 * MS;
+/// A process that ends keeps at least this part of its work's room while anything is open. Guards what it still holds:
+/// with next to no room it would wait until it is given up.
+const LEAST_LEFT: f64 = 0.4;
 /// Spreads numbers of connections evenly.
 const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -113,7 +116,8 @@
 
     /// Asked to end, it has that part of its work left.
     pub fn fades(&mut self, left: f64) {
-        self.left = if left.is_finite() { left.clamp(0.0, self.left) } else { self.left };
+        self.left =
+            if left.is_finite() { left.clamp(LEAST_LEFT.min(self.left), self.left) } else { self.left };
     }
 
     /// Where it stands.
