Pass the clients' connections themselves to the process that follows

Change: after SIGTERM each connection passes to the new process with what was read and not yet written; the old one words what it still has open and the new one writes it; withdrawals and hang-ups go back. Ruled out, by counting what was open at the end: held queries without room; it was new requests on kept connections.

--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -507,6 +507,8 @@
                 error(replies, what, id, keep, Some(after.unwrap_or(SEC)));
             }
             Answer::Failed(why) => error(replies, failure(why), id, keep, None),
+            // Connections of this front are not passed on.
+            Answer::Worded(_) => {}
         }
         self.state = if keep { State::Head } else { State::Last };
         self.read_on(now, said, replies);
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -3,6 +3,7 @@
 use crate::clock::{MS, Micros};
 use crate::config::LiveNames;
 use crate::interface::{ClassId, TenantId};
+use crate::lifecycle::words::Handed;
 use crate::manager::ends::End;
 use crate::manager::{Answer, Ask, Failure, Origin};
 use base64::prelude::{BASE64_STANDARD, Engine as _};
@@ -67,6 +68,8 @@
     /// Where to look on for the end of the line.
     looked: usize,
     open: BTreeSet<u64>,
+    /// Open at the process that passed this connection on.
+    elsewhere: BTreeSet<u64>,
     /// Since when the line in `input` has begun.
     began: Option<Micros>,
     useful: bool,
@@ -80,7 +83,17 @@
     pub fn new(conn: u64, names: LiveNames, ready: Rc<dyn Fn() -> bool>) -> JsonRpc {
         let (input, open) = (Vec::new(), BTreeSet::new());
         let (began, useful, strikes, closing) = (None, false, 0, false);
-        JsonRpc { conn, names, ready, input, looked: 0, open, began, useful, strikes, closing }
+        let elsewhere = BTreeSet::new();
+        JsonRpc { conn, names, ready, input, looked: 0, open, elsewhere, began, useful, strikes, closing }
+    }
+
+    /// Goes on with one that another process passed on.
+    pub fn resume(now: Micros, handed: &Handed, mut fresh: JsonRpc) -> JsonRpc {
+        fresh.elsewhere = handed.open.iter().copied().collect();
+        fresh.input = handed.input.clone();
+        fresh.began = (!fresh.input.is_empty()).then_some(now);
+        fresh.useful = true;
+        fresh
     }
 
     /// Turns a message away.
@@ -132,8 +145,11 @@
                 };
                 self.strikes += 1;
                 // One that was answered a moment ago is no fault, and no answer is owed.
-                if let Some(tag) = named.and_then(Value::as_u64).filter(|tag| self.open.remove(tag)) {
+                let named = named.and_then(Value::as_u64);
+                if let Some(tag) = named.filter(|tag| self.open.remove(tag)) {
                     said.push(Said::Withdraw(tag));
+                } else if let Some(tag) = named.filter(|tag| self.elsewhere.remove(tag)) {
+                    said.push(Said::WithdrawElsewhere(tag));
                 }
             }
             method => match self.ask(now, method, &id, message.params) {
@@ -150,13 +166,17 @@
                         said.push(Said::TurnedAway(class, answer));
                     }
                     // Guards the answer to the first request under a number: the second one's error is not for it.
-                    let taken = id.as_u64().is_some_and(|tag| self.open.contains(&tag));
+                    let taken = id.as_u64().is_some_and(|tag| self.in_use(tag));
                     self.error(replies, if taken { &Value::Null } else { &id }, code, what);
                 }
             },
         }
     }
 
+    fn in_use(&self, tag: u64) -> bool {
+        self.open.contains(&tag) || self.elsewhere.contains(&tag)
+    }
+
     fn class(&self, method: &str) -> Option<ClassId> {
         self.names.borrow().class(method)
     }
@@ -164,10 +184,10 @@
     fn ask(&self, now: Micros, method: &str, id: &Value, params: Value) -> Result<Ask, (i64, &'static str)> {
         let class = self.class(method).ok_or((NO_METHOD, "no such class"))?;
         let tag = id.as_u64().filter(|tag| *tag > 0).ok_or((INVALID_REQUEST, "the id is not a number"))?;
-        if self.open.contains(&tag) {
+        if self.in_use(tag) {
             return Err((INVALID_REQUEST, "the id is in use"));
         }
-        if self.open.len() >= MOST_OPEN {
+        if self.open() >= MOST_OPEN {
             return Err((REFUSED, "too many requests are open on this connection"));
         }
         let params: Params =
@@ -271,7 +291,7 @@
 
     fn answer(&mut self, _: Micros, tag: u64, answer: Answer, _: &mut Vec<Said>, replies: &mut Vec<u8>) {
         // Withdrawn a moment ago: no answer is owed.
-        if !self.open.remove(&tag) {
+        if !self.open.remove(&tag) && !self.elsewhere.remove(&tag) {
             return;
         }
         let id = Value::from(tag);
@@ -280,6 +300,7 @@
                 let arg = BASE64_STANDARD.encode(rows);
                 reply(replies, &json!({"jsonrpc": "2.0", "id": id, "result": {"arg": arg}}));
             }
+            Answer::Worded(line) => replies.extend_from_slice(&line),
             Answer::Refused(after) => error(replies, &id, REFUSED, "refused: try again later", after),
             Answer::Failed(Failure::Deadline) => error(replies, &id, DEADLINE, "failed: time is up", None),
             Answer::Failed(Failure::InUse) => {
@@ -293,7 +314,18 @@
     }
 
     fn open(&self) -> usize {
-        self.open.len()
+        self.open.len() + self.elsewhere.len()
+    }
+
+    fn hand_over(&self) -> Option<Handed> {
+        let open = self.open.iter().chain(&self.elsewhere).copied().collect();
+        // Twice over there is nobody to ask: what an older process has open is waited for here.
+        let may = !self.closing && self.elsewhere.is_empty();
+        may.then(|| Handed { open, input: self.input.clone(), unwritten: Vec::new() })
+    }
+
+    fn withdrawn(&mut self, tag: u64) {
+        self.open.remove(&tag);
     }
 
     fn began(&self) -> Option<Micros> {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Micros;
 use crate::interface::ClassId;
+use crate::lifecycle::words::Handed;
 use crate::manager::ends::End;
 use crate::manager::{Answer, Ask};
 
@@ -14,6 +15,8 @@
     Ask(Ask),
     /// The client stopped waiting for the request with that mark.
     Withdraw(u64),
+    /// The same for a request that another process has open.
+    WithdrawElsewhere(u64),
     /// A request of that class was turned away here, with that answer.
     TurnedAway(ClassId, Answer),
 }
@@ -51,6 +54,12 @@
     fn useful(&self) -> bool;
     /// Messages that cost and brought nothing: turned away here, or withdrawn.
     fn strikes(&self) -> u64;
+    /// What another process needs to go on with this connection; nothing if none can.
+    fn hand_over(&self) -> Option<Handed> {
+        None
+    }
+    /// The client withdrew this request, as another process says that now reads from it.
+    fn withdrawn(&mut self, _tag: u64) {}
     /// Whether the connection is to be closed once all is written.
     fn last(&self) -> bool;
 }
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -12,8 +12,10 @@
 const SPREAD: Micros = 1_200 * MS;
 /// The same behind a successor, which takes the clients in the same moment: the front learns nothing.
 const SPREAD_OVER: Micros = 600 * MS;
-/// From here on a drained process gives up what comes on a connection that is never quiet: it must be let go.
+/// From here on a process gives up what comes on a connection that is never quiet: it must be let go.
 const CLOSES: Micros = 2_200 * MS;
+/// The same behind a successor.
+const CLOSES_OVER: Micros = 800 * MS;
 /// How long after it was asked to end the program goes on taking requests: connections that clients are making
 /// then still bring some.
 const LINGER: Micros = 900 * MS;
@@ -169,7 +171,9 @@
 
     /// Whether requests on kept connections are given up at once, so that none is held on and on.
     pub fn closes(&self, now: Micros) -> bool {
-        self.drained_at.is_some_and(|at| at + CLOSES <= now)
+        let drained = self.drained_at.map(|at| at + CLOSES);
+        let over = self.stopping_at.filter(|_| self.next == Next::Ready).map(|at| at + CLOSES_OVER);
+        drained.into_iter().chain(over).any(|at| at <= now)
     }
 
     /// How long a connection that is to be let go has to have been quiet: a client that just connected, or just got
--- a/src/lifecycle/words.rs
+++ b/src/lifecycle/words.rs
@@ -4,10 +4,17 @@
 //! descriptors, in that order, beside the line's first byte, and `drained` if operators sent its clients away. Then the
 //! newer one says `ready` once it serves, and the older one `leave PART` whenever the part of the manager that the
 //! newer one has to leave to others changes. The end of the connection is the end of the other process.
+//!
+//! Asked to end, the older one passes its clients' connections, each as `client N IDS INPUT UNWRITTEN` with its
+//! descriptor beside it: the ids that it has open there, and how many bytes follow that it has read of a message and
+//! that it has yet to write. What it still answers follows as `answer N ID LENGTH` and the bytes; what the client
+//! withdraws, or that it has gone, comes back as `withdraw N ID` and `gone N`.
 use std::net::SocketAddr;
 
 /// A longer line is no line of this protocol.
-pub const MOST_LINE: usize = 512;
+pub const MOST_LINE: usize = 2_048;
+/// Nor are more bytes behind one.
+const MOST_BYTES: usize = 64 << 20;
 const HELLO: &str = "yokelift-handover 1";
 
 /// A line.
@@ -23,9 +30,42 @@
     Ready,
     /// What the newer one leaves to others.
     Leave(f64),
+    /// A client's connection, by its number at the older one.
+    Client(u64, Handed),
+    /// An answer of the older one to the request with that mark, worded.
+    Answer(u64, u64, Vec<u8>),
+    /// The client withdrew that request of the older one.
+    Withdraw(u64, u64),
+    /// The client has gone.
+    Gone(u64),
+}
+
+/// What passes with a client's connection.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Handed {
+    /// The marks of requests that are open elsewhere.
+    pub open: Vec<u64>,
+    /// What was read of a message that is not whole.
+    pub input: Vec<u8>,
+    /// What is yet to be written, first of all.
+    pub unwritten: Vec<u8>,
 }
 
 impl Word {
+    /// As bytes: its line, and what follows it.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut out = self.line().into_bytes();
+        match self {
+            Word::Client(_, handed) => {
+                out.extend_from_slice(&handed.input);
+                out.extend_from_slice(&handed.unwritten);
+            }
+            Word::Answer(_, _, bytes) => out.extend_from_slice(bytes),
+            _ => {}
+        }
+        out
+    }
+
     /// As a line.
     pub fn line(&self) -> String {
         match self {
@@ -37,16 +77,57 @@
             Word::Drained => "drained\n".into(),
             Word::Ready => "ready\n".into(),
             Word::Leave(part) => format!("leave {part:.3}\n"),
+            Word::Client(n, Handed { open, input, unwritten }) => {
+                let ids: Vec<String> = open.iter().map(u64::to_string).collect();
+                let ids = if ids.is_empty() { "-".to_owned() } else { ids.join(",") };
+                format!("client {n} {ids} {} {}\n", input.len(), unwritten.len())
+            }
+            Word::Answer(n, id, bytes) => format!("answer {n} {id} {}\n", bytes.len()),
+            Word::Withdraw(n, id) => format!("withdraw {n} {id}\n"),
+            Word::Gone(n) => format!("gone {n}\n"),
         }
     }
 
-    /// From a line without its end; nothing if it is none of this version's.
+    /// How many bytes follow its line, as it was read.
+    fn follows(&self) -> usize {
+        match self {
+            Word::Client(_, handed) => handed.input.len() + handed.unwritten.len(),
+            Word::Answer(_, _, bytes) => bytes.len(),
+            _ => 0,
+        }
+    }
+
+    /// Puts the bytes in that follow its line.
+    fn fill(&mut self, bytes: &[u8]) {
+        match self {
+            Word::Client(_, handed) => {
+                let (input, unwritten) = bytes.split_at(handed.input.len());
+                handed.input.copy_from_slice(input);
+                handed.unwritten.copy_from_slice(unwritten);
+            }
+            Word::Answer(_, _, into) => into.copy_from_slice(bytes),
+            _ => {}
+        }
+    }
+
+    /// From a line without its end, with zeros for bytes that follow; nothing if it is none of this version's.
     pub fn read(line: &str) -> Option<Word> {
         if let Some(name) = line.strip_prefix(HELLO) {
             return name.strip_prefix(' ').filter(|n| !n.is_empty()).map(|name| Word::Hello(name.to_owned()));
         }
         let (first, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let parts: Vec<&str> = rest.split(' ').collect();
+        let number = |at: usize| parts.get(at).and_then(|n| n.parse::<u64>().ok());
+        let room = |at: usize| number(at).filter(|n| *n <= MOST_BYTES as u64).map(|n| vec![0; n as usize]);
         match first {
+            "client" if parts.len() == 4 => {
+                let ids = if parts[1] == "-" { Vec::new() } else { parts[1].split(',').collect() };
+                let open = ids.into_iter().map(|id| id.parse().ok()).collect::<Option<_>>()?;
+                Some(Word::Client(number(0)?, Handed { open, input: room(2)?, unwritten: room(3)? }))
+            }
+            "answer" if parts.len() == 3 => Some(Word::Answer(number(0)?, number(1)?, room(2)?)),
+            "withdraw" if parts.len() == 2 => Some(Word::Withdraw(number(0)?, number(1)?)),
+            "gone" if parts.len() == 1 => Some(Word::Gone(number(0)?)),
             "take" => rest.split(' ').map(|addr| addr.parse().ok()).collect::<Option<_>>().map(Word::Take),
             "drained" if rest.is_empty() => Some(Word::Drained),
             "ready" if rest.is_empty() => Some(Word::Ready),
@@ -61,19 +142,34 @@
 
 /// Cuts what comes into words.
 #[derive(Default)]
-pub struct Reader(Vec<u8>);
+pub struct Reader {
+    input: Vec<u8>,
+    /// A word whose bytes are still to come.
+    begun: Option<Word>,
+}
 
 impl Reader {
     /// The words that are whole by now; an error for anything else.
     pub fn feed(&mut self, input: &[u8]) -> Result<Vec<Word>, ()> {
-        self.0.extend_from_slice(input);
+        self.input.extend_from_slice(input);
         let mut words = Vec::new();
-        while let Some(end) = self.0.iter().position(|c| *c == b'\n') {
-            let line: Vec<u8> = self.0.drain(..=end).collect();
-            let text = std::str::from_utf8(&line[..end]).map_err(|_| ())?;
-            words.push(Word::read(text).ok_or(())?);
+        loop {
+            if let Some(word) = &mut self.begun {
+                let follows = word.follows();
+                if self.input.len() < follows {
+                    return Ok(words);
+                }
+                word.fill(&self.input[..follows]);
+                self.input.drain(..follows);
+                words.extend(self.begun.take());
+            }
+            let Some(end) = self.input.iter().position(|c| *c == b'\n') else {
+                return if self.input.len() > MOST_LINE { Err(()) } else { Ok(words) };
+            };
+            let text = std::str::from_utf8(&self.input[..end]).map_err(|_| ())?;
+            self.begun = Some(Word::read(text).ok_or(())?);
+            self.input.drain(..=end);
         }
-        if self.0.len() > MOST_LINE { Err(()) } else { Ok(words) }
     }
 }
 
@@ -92,11 +188,19 @@
             Word::Drained,
             Word::Ready,
             Word::Leave(0.375),
+            Word::Client(
+                7,
+                Handed { open: vec![3, 9], input: b"{\n".to_vec(), unwritten: b"half\n".to_vec() },
+            ),
+            Word::Client(8, Handed::default()),
+            Word::Answer(7, 9, b"leave 1\n".to_vec()),
+            Word::Withdraw(7, 3),
+            Word::Gone(8),
         ];
-        let wire: String = all.iter().map(Word::line).collect();
+        let wire: Vec<u8> = all.iter().flat_map(Word::bytes).collect();
         for step in 1..wire.len() {
             let mut reader = Reader::default();
-            let words = wire.as_bytes().chunks(step).flat_map(|piece| reader.feed(piece).expect("words"));
+            let words = wire.chunks(step).flat_map(|piece| reader.feed(piece).expect("words"));
             assert_eq!(words.collect::<Vec<_>>(), all);
         }
         for noise in [
--- a/src/main.rs
+++ b/src/main.rs
@@ -165,7 +165,19 @@
                 all.clone().spawn(handover::listen(all, older));
             }
         };
-        shared.spawn(handover::follow(shared.clone(), taken, serves));
+        let (all, module, names) = (shared.clone(), core.clone(), live.clone());
+        let adopt: handover::Adopt = Box::new(move |stream, adopted| {
+            let (conn, flags) = (all.next_conn.get(), all.clone());
+            all.next_conn.set(conn + 1);
+            let front = JsonRpc::new(conn, names.clone(), Rc::new(move || flags.life.borrow().ready()));
+            let front = JsonRpc::resume(clock::turn(), &adopted.handed, front);
+            match Async::new(stream) {
+                Ok(stream) => client::start(&all, module.clone(), stream, conn, front, Some(adopted)),
+                // Nobody hears from this one any more: it is as if its client had gone.
+                Err(_) => bounded(1).0,
+            }
+        });
+        shared.spawn(handover::follow(shared.clone(), taken, adopt, serves));
     } else {
         starts.0.close();
         if let Some(place) = place {
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -82,6 +82,8 @@
     Refused(Option<Micros>),
     /// Nothing is promised.
     Failed(Failure),
+    /// One that another process gave and worded, on a connection that was passed to this one.
+    Worded(Vec<u8>),
 }
 
 /// An attempt to start.
@@ -254,6 +256,7 @@
             Answer::Served(_) => self.counters.served += 1,
             Answer::Refused(_) => self.counters.refused += 1,
             Answer::Failed(_) => self.counters.failed += 1,
+            Answer::Worded(_) => {}
         }
         self.tally(class, answer);
     }
@@ -265,6 +268,7 @@
             Answer::Served(_) => tally.success += 1,
             Answer::Refused(_) => tally.overload += 1,
             Answer::Failed(_) => tally.error += 1,
+            Answer::Worded(_) => {}
         }
     }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,8 +1,10 @@
 //! The listener of a front and the actor of each client connection.
 use super::core::Input;
+use super::handover::Passed;
 use super::{Bytes, Held, Shared, until};
 use crate::clock::{self, MS, Micros, SEC};
 use crate::front::{Cut, Front, Said};
+use crate::lifecycle::words::{Handed, Word};
 use crate::log;
 use crate::manager::ends::End;
 use crate::manager::{Answer, Origin};
@@ -53,6 +55,8 @@
     idle_since: Cell<Option<Micros>>,
     /// To be let go at the next moment that it is quiet, so that no request is lost.
     leaving: Cell<bool>,
+    /// To be passed to the process that follows this one.
+    passes: Cell<bool>,
     /// Closed to shed it; a word on it says to look whether it is to leave.
     shed: Sender<()>,
 }
@@ -83,7 +87,8 @@
         }
         for (conn, standing) in shared.clients.borrow().iter() {
             let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
-            if standing.leaving.replace(leaving) != leaving {
+            let passes = life.handed_over();
+            if standing.leaving.replace(leaving) != leaving || standing.passes.replace(passes) != passes {
                 let _ = standing.shed.try_send(());
             }
         }
@@ -130,13 +135,7 @@
             Ok(stream) => {
                 let conn = shared.next_conn.get();
                 shared.next_conn.set(conn + 1);
-                let (all, core) = (shared.clone(), core.clone());
-                let front = front(conn);
-                let socket = Held::new(&shared.client_sockets);
-                shared.spawn(async move {
-                    actor(&all, core, stream, conn, front).await;
-                    drop(socket);
-                });
+                start(&shared, core.clone(), stream, conn, front(conn), None);
             }
             Err(e) => {
                 log!("accepting a client: {e}");
@@ -162,18 +161,64 @@
     Due,
 }
 
-async fn actor(shared: &Shared, core: Sender<Input>, stream: Async<TcpStream>, conn: u64, front: impl Front) {
+/// A connection that another process passed on: its number there, and where to say what is meant for it.
+pub struct Adopted {
+    /// The number.
+    pub number: u64,
+    /// What was read there and not used, and not written yet.
+    pub handed: Handed,
+    /// To the other process.
+    pub older: Sender<Word>,
+}
+
+/// Starts the actor of a connection, and gives its mailbox.
+pub fn start<F: Front + 'static>(
+    shared: &Rc<Shared>,
+    core: Sender<Input>,
+    stream: Async<TcpStream>,
+    conn: u64,
+    front: F,
+    adopted: Option<Adopted>,
+) -> Sender<(u64, Answer)> {
     let (answers, mailbox) = bounded(MAILBOX);
+    let (all, mine, socket) = (shared.clone(), answers.clone(), Held::new(&shared.client_sockets));
+    shared.spawn(async move {
+        actor(&all, core, stream, conn, front, adopted, socket, (mine, mailbox)).await;
+    });
+    answers
+}
+
+#[allow(clippy::too_many_arguments)]
+async fn actor(
+    shared: &Shared,
+    core: Sender<Input>,
+    stream: Async<TcpStream>,
+    conn: u64,
+    front: impl Front,
+    adopted: Option<Adopted>,
+    socket: Held,
+    (answers, mailbox): (Sender<(u64, Answer)>, Receiver<(u64, Answer)>),
+) {
     let (shed, shedding) = bounded(1);
     let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
-    let standing = Rc::new(Standing { useful, idle_since, leaving: Cell::new(false), shed });
+    let (leaving, passes) = (Cell::new(false), Cell::new(false));
+    let standing = Rc::new(Standing { useful, idle_since, leaving, passes, shed });
     shared.clients.borrow_mut().insert(conn, standing.clone());
     let _ = core.send(Input::Opened(conn, answers)).await;
     let (held, unread) = (Bytes::new(&shared.unwritten_bytes), Bytes::new(&shared.unread_bytes));
-    let (unwritten, said) = (Vec::new(), Vec::new());
+    let (mut unwritten, said) = (Vec::new(), Vec::new());
+    let older = adopted.map(|adopted| {
+        unwritten = adopted.handed.unwritten;
+        (adopted.number, adopted.older)
+    });
+    let (core, written) = (&core, 0);
     let peer =
-        Peer { shared, core: &core, stream: &stream, conn, front, unwritten, written: 0, held, unread, said };
+        Peer { shared, core, stream, socket, conn, front, unwritten, written, held, unread, said, older };
+    let passed_by = peer.older.clone();
     let end = peer.serve(&standing, &mailbox, &shedding).await;
+    if let Some((number, older)) = passed_by {
+        let _ = older.try_send(Word::Gone(number));
+    }
     shared.clients.borrow_mut().remove(&conn);
     if !matches!(end, End::Closed | End::Idle | End::Done | End::Overflow) {
         log!("a client's connection ended: {end:?}");
@@ -184,7 +229,9 @@
 struct Peer<'a, F> {
     shared: &'a Shared,
     core: &'a Sender<Input>,
-    stream: &'a Async<TcpStream>,
+    stream: Async<TcpStream>,
+    /// Its place among the descriptors of clients.
+    socket: Held,
     conn: u64,
     front: F,
     unwritten: Vec<u8>,
@@ -194,6 +241,8 @@
     /// The same against many that send long messages.
     unread: Bytes<'a>,
     said: Vec<Said>,
+    /// The process that passed it on, and its number there.
+    older: Option<(u64, Sender<Word>)>,
 }
 
 impl<F: Front> Peer<'_, F> {
@@ -212,6 +261,12 @@
                 Said::Ask(ask) => Input::Ask(ask),
                 Said::TurnedAway(class, answer) => Input::TurnedAway(class, answer),
                 Said::Withdraw(tag) => Input::Withdraw(Origin { conn: self.conn, tag }),
+                Said::WithdrawElsewhere(tag) => {
+                    if let Some((number, older)) = &self.older {
+                        let _ = older.try_send(Word::Withdraw(*number, tag));
+                    }
+                    continue;
+                }
             };
             let _ = self.core.send(input).await;
         }
@@ -243,6 +298,13 @@
             }
             // The program does not end while this one has something to write.
             busy = if writing { busy.or_else(|| Some(Held::new(&self.shared.unwritten))) } else { None };
+            if standing.passes.get()
+                && self.front.useful()
+                && let Some(newer) = self.shared.newer.borrow().clone()
+                && let Some(handed) = self.front.hand_over()
+            {
+                return self.pass(newer, handed, mailbox).await;
+            }
             let waits = self.unwritten.len() - self.written;
             self.held.set(waits);
             let full = waits > MOST_UNWRITTEN
@@ -260,7 +322,7 @@
             };
             let paused = strikes.pause(clock::now());
             let due = silent.into_iter().chain(owed).chain(paused).min();
-            let mut writer = self.stream;
+            let mut writer = &self.stream;
             let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
             // One that has something open by now stays.
             let quiet = self.front.began().is_none() && self.front.held() == 0 && !unread;
@@ -357,12 +419,47 @@
         }
     }
 
+    /// Passes the connection to the process that follows, and what is still answered here after it.
+    async fn pass(self, newer: Sender<Passed>, mut handed: Handed, mailbox: &Receiver<(u64, Answer)>) -> End {
+        let Peer { shared, core, stream, socket, conn, mut front, unwritten, written, .. } = self;
+        handed.unwritten = unwritten[written..].to_vec();
+        let Ok(stream) = stream.into_inner() else { return End::Reset };
+        let (back, words) = async_channel::unbounded();
+        let held = Held::new(&shared.unwritten);
+        let client = Passed::Client(conn, stream.into(), handed, back, held);
+        drop(socket);
+        if newer.send(client).await.is_err() {
+            return End::Dropped;
+        }
+        let (mut said, mut bytes) = (Vec::new(), Vec::new());
+        while front.open() > 0 {
+            let answer = async { Ok(mailbox.recv().await) };
+            let word = async { Err(words.recv().await) };
+            match or(answer, word).await {
+                Ok(Ok((tag, answer))) => {
+                    let held = Held::new(&shared.unwritten);
+                    front.answer(clock::turn(), tag, answer, &mut said, &mut bytes);
+                    let line = std::mem::take(&mut bytes);
+                    if !line.is_empty() && newer.send(Passed::Answer(conn, tag, line, held)).await.is_err() {
+                        return End::Dropped;
+                    }
+                }
+                Err(Ok(Word::Withdraw(_, tag))) => {
+                    front.withdrawn(tag);
+                    let _ = core.send(Input::Withdraw(Origin { conn, tag })).await;
+                }
+                Ok(Err(_)) | Err(_) => return End::Closed,
+            }
+        }
+        End::Done
+    }
+
     /// Writes what is left, ends this side, and takes in a little of what the peer still sends. Guards the last
     /// answer or error: a close with unread input resets the connection, and the peer loses both.
     async fn farewell(mut self, end: End) -> End {
         let _busy = Held::new(&self.shared.unwritten);
         let now = clock::turn();
-        let mut writer = self.stream;
+        let mut writer = &self.stream;
         let rest = async { writer.write_all(&self.unwritten[self.written..]).await.is_ok() };
         let late = async {
             until(Some(now + LAST_WORDS)).await;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,23 +1,25 @@
 //! Two processes as one manager while a new version takes over: the socket in `$TMPDIR` over which the older one
 //! passes its listening descriptors, and the actors at both ends. What it means is the lifecycle's to say.
+use super::client::Adopted;
 use super::core::Input;
-use super::{Shared, until};
+use super::{Held, Shared, until};
 use crate::clock::{self, MS, Micros};
 use crate::lifecycle::Next;
-use crate::lifecycle::words::{Reader, Word};
+use crate::lifecycle::words::{Handed, Reader, Word};
 use crate::log;
-use async_channel::Sender;
+use crate::manager::{Answer, Failure};
+use async_channel::{Sender, bounded};
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
 use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::{AsFd, OwnedFd};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -32,6 +34,20 @@
 /// Processes that may wait to follow at once.
 const MOST_FOLLOWERS: usize = 4;
 
+/// What passes to the process that follows, and is held to be unwritten until then.
+pub enum Passed {
+    /// A client's connection: its number here, the descriptor, its state, and where words about it go.
+    Client(u64, OwnedFd, Handed, Sender<Word>, Held),
+    /// An answer to one of the requests that are open here: the connection's number, the mark, and its bytes.
+    Answer(u64, u64, Vec<u8>, Held),
+}
+
+/// Messages that wait for the process that follows.
+const MAILBOX: usize = 256;
+
+/// Takes a client's connection over, and gives where answers for it go.
+pub type Adopt = Box<dyn Fn(TcpStream, Adopted) -> Sender<(u64, Answer)>>;
+
 /// Where the processes of a manager meet: in `$TMPDIR`, under the manager's name.
 pub fn place(name: &str) -> Option<PathBuf> {
     let folder = PathBuf::from(std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?);
@@ -62,7 +78,7 @@
             }
             Err(e) => return Err(e.to_string()),
         };
-        peer.write_all(Word::Hello(name.to_owned()).line().as_bytes()).await.map_err(|e| e.to_string())?;
+        peer.write_all(&Word::Hello(name.to_owned()).bytes()).await.map_err(|e| e.to_string())?;
         hear(peer).await.map(Some)
     };
     let late_at = clock::turn() + PATIENCE;
@@ -76,25 +92,34 @@
     })
 }
 
+/// Reads what is there, and takes the descriptors that came beside it.
+async fn receive(
+    peer: &Async<UnixStream>,
+    piece: &mut [u8],
+    descriptors: &mut VecDeque<OwnedFd>,
+) -> io::Result<usize> {
+    let read = |stream: &UnixStream| {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let mut into = [IoSliceMut::new(piece)];
+        let read = rustix::net::recvmsg(stream, &mut into, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(passed) = message {
+                descriptors.extend(passed);
+            }
+        }
+        Ok(read.bytes)
+    };
+    peer.read_with(read).await
+}
+
 /// Reads up to the first word on parts, which comes last.
 async fn hear(peer: Async<UnixStream>) -> Result<Taken, String> {
-    let (mut reader, mut descriptors): (Reader, Vec<OwnedFd>) = (Reader::default(), Vec::new());
+    let (mut reader, mut descriptors) = (Reader::default(), VecDeque::new());
     let (mut addrs, mut drained) = (Vec::new(), false);
     loop {
         let mut piece = [0; 1024];
-        let read = |stream: &UnixStream| {
-            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
-            let mut control = RecvAncillaryBuffer::new(&mut space);
-            let mut into = [IoSliceMut::new(&mut piece)];
-            let read = rustix::net::recvmsg(stream, &mut into, &mut control, RecvFlags::CMSG_CLOEXEC)?;
-            for message in control.drain() {
-                if let RecvAncillaryMessage::ScmRights(passed) = message {
-                    descriptors.extend(passed);
-                }
-            }
-            Ok(read.bytes)
-        };
-        let n = peer.read_with(read).await.map_err(|e| e.to_string())?;
+        let n = receive(&peer, &mut piece, &mut descriptors).await.map_err(|e| e.to_string())?;
         if n == 0 {
             return Err("it closed the connection".into());
         }
@@ -109,20 +134,31 @@
                     return Ok(Taken { listeners, drained, leave, peer, reader });
                 }
                 Word::Leave(_) => return Err("it passed no descriptors".into()),
-                Word::Hello(_) | Word::Ready => return Err("it speaks out of turn".into()),
+                _ => return Err("it speaks out of turn".into()),
             }
         }
     }
 }
 
-/// The end of the newer process: says when it serves, and hears what it has to leave to those before it.
-pub async fn follow(shared: Rc<Shared>, taken: Taken, serves: impl FnOnce()) {
+/// A connection that was passed on: where answers for it go, and the marks that wait for them.
+struct Client {
+    answers: Sender<(u64, Answer)>,
+    open: BTreeSet<u64>,
+}
+
+/// The end of the newer process: says when it serves, hears what it has to leave to those before it, and takes their
+/// clients over.
+pub async fn follow(shared: Rc<Shared>, taken: Taken, adopt: Adopt, serves: impl FnOnce()) {
     let Taken { mut peer, mut reader, .. } = taken;
+    let (words, orders) = async_channel::unbounded();
+    let mut clients = BTreeMap::new();
+    let mut descriptors = VecDeque::new();
     let mut serves = Some(serves);
-    let mut piece = [0; 256];
+    let mut piece = vec![0; 16 * 1024];
     loop {
         let starting = serves.is_some();
-        let read = async { Some(super::read_some(&peer, &mut piece).await) };
+        let read = async { Some(Ok(receive(&peer, &mut piece, &mut descriptors).await)) };
+        let order = async { orders.recv().await.ok().map(Err) };
         let look = async {
             match starting {
                 true => drop(Timer::after(LOOK).await),
@@ -130,29 +166,38 @@
             }
             None
         };
-        match or(read, look).await {
+        match or(read, or(order, look)).await {
             None if shared.life.borrow().serves() => {
                 if let Some(serves) = serves.take() {
                     serves();
-                    let _ = peer.write_all(Word::Ready.line().as_bytes()).await;
+                    let _ = peer.write_all(&Word::Ready.bytes()).await;
                 }
             }
             None => {}
-            Some(Ok(n)) if n > 0 => match reader.feed(&piece[..n]) {
-                Ok(words) => {
-                    for word in words {
-                        if let Word::Leave(part) = word {
-                            shared.life.borrow_mut().follows(part);
-                        }
-                    }
+            Some(Err(word)) => {
+                if let Word::Gone(number) = word {
+                    clients.remove(&number);
+                }
+                // If it can't be told any more it is gone, and the next read says so.
+                let _ = peer.write_all(&word.bytes()).await;
+            }
+            Some(Ok(Ok(n))) if n > 0 => {
+                let Ok(heard) = reader.feed(&piece[..n]) else { break };
+                for word in heard {
+                    hear_of_clients(&shared, word, &mut clients, &mut descriptors, &adopt, &words);
                 }
-                Err(()) => break,
-            },
-            Some(_) => break,
+            }
+            Some(Ok(_)) => break,
         }
     }
     log!("the process before this one has gone");
     shared.life.borrow_mut().follows(0.0);
+    // What it had open there and did not answer is lost with it; its client hears so at once.
+    for Client { answers, open } in clients.into_values() {
+        for mark in open {
+            let _ = answers.try_send((mark, Answer::Failed(Failure::NotSent)));
+        }
+    }
     if let Some(serves) = serves.take() {
         while !shared.life.borrow().serves() {
             Timer::after(LOOK).await;
@@ -161,6 +206,32 @@
     }
 }
 
+fn hear_of_clients(
+    shared: &Shared,
+    word: Word,
+    clients: &mut BTreeMap<u64, Client>,
+    descriptors: &mut VecDeque<OwnedFd>,
+    adopt: &Adopt,
+    words: &Sender<Word>,
+) {
+    match word {
+        Word::Leave(part) => shared.life.borrow_mut().follows(part),
+        Word::Client(number, handed) => {
+            let Some(socket) = descriptors.pop_front() else { return };
+            let open = handed.open.iter().copied().collect();
+            let adopted = Adopted { number, handed, older: words.clone() };
+            clients.insert(number, Client { answers: adopt(TcpStream::from(socket), adopted), open });
+        }
+        Word::Answer(number, mark, bytes) => {
+            if let Some(client) = clients.get_mut(&number) {
+                client.open.remove(&mark);
+                let _ = client.answers.try_send((mark, Answer::Worded(bytes)));
+            }
+        }
+        _ => {}
+    }
+}
+
 /// The end of the older process: what it passes to those that follow.
 pub struct Older {
     /// Where they find it.
@@ -230,6 +301,9 @@
     let ready = all.values().any(|next| *next == Next::Ready);
     let next = if ready { Next::Ready } else { all.values().next().copied().unwrap_or_default() };
     shared.life.borrow_mut().followed(next);
+    if !ready {
+        *shared.newer.borrow_mut() = None;
+    }
 }
 
 async fn followers_end(
@@ -265,30 +339,57 @@
     }
     log!("a process follows: the listeners are passed to it");
     let mut start = None;
+    let (newer, passing) = bounded(MAILBOX);
+    let mut clients: BTreeMap<u64, Sender<Word>> = BTreeMap::new();
     loop {
-        let read = async { Some(super::read_some(&peer, &mut piece).await) };
+        let read = async { Some(Ok(super::read_some(&peer, &mut piece).await)) };
+        let pass = async { passing.recv().await.ok().map(Err) };
         let look = async {
             Timer::after(LOOK).await;
             None
         };
-        match or(read, look).await {
-            Some(Ok(n)) if n > 0 => match reader.feed(&piece[..n]) {
-                Ok(words) if words.contains(&Word::Ready) => {
-                    log!("the process that follows serves");
-                    followers.borrow_mut().insert(mine, Next::Ready);
-                    settle(shared, followers);
+        match or(read, or(pass, look)).await {
+            Some(Ok(Ok(n))) if n > 0 => {
+                let Ok(words) = reader.feed(&piece[..n]) else { return };
+                for word in words {
+                    match word {
+                        Word::Ready => {
+                            log!("the process that follows serves");
+                            followers.borrow_mut().insert(mine, Next::Ready);
+                            settle(shared, followers);
+                            *shared.newer.borrow_mut() = Some(newer.clone());
+                        }
+                        Word::Withdraw(number, _) => {
+                            clients.get(&number).map(|client| client.try_send(word));
+                        }
+                        // With its mailbox closed what it has open here is given up.
+                        Word::Gone(number) => drop(clients.remove(&number)),
+                        _ => {}
+                    }
+                }
+            }
+            Some(Ok(_)) => return log!("the process that followed has gone"),
+            Some(Err(Passed::Client(number, socket, handed, back, held))) => {
+                clients.insert(number, back);
+                let word = Word::Client(number, handed);
+                if send(&peer, &word.bytes(), &[socket.as_fd()]).await.is_err() {
+                    return;
                 }
-                Ok(_) => {}
-                Err(()) => return,
-            },
-            Some(_) => return log!("the process that followed has gone"),
+                drop((socket, held));
+            }
+            Some(Err(Passed::Answer(number, mark, bytes, held))) => {
+                if (&peer).write_all(&Word::Answer(number, mark, bytes).bytes()).await.is_err() {
+                    return;
+                }
+                drop(held);
+            }
             None => {}
         }
         fade(shared, &mut start);
         let now = shared.life.borrow().leaves();
         if (now - leaves).abs() > 0.01 {
             leaves = now;
-            if (&peer).write_all(Word::Leave(now).line().as_bytes()).await.is_err() {
+            if (&peer).write_all(&Word::Leave(now).bytes()).await.is_err() {
                 return;
             }
         }
@@ -308,23 +409,26 @@
 
 async fn pass(shared: &Shared, older: &Older, peer: &Async<UnixStream>, leaves: f64) -> io::Result<()> {
     let addrs = older.listeners.iter().map(|(addr, _)| *addr).collect();
-    let mut text = Word::Take(addrs).line();
+    let mut text = Word::Take(addrs).bytes();
     if shared.life.borrow().drained() {
-        text += &Word::Drained.line();
+        text.extend(Word::Drained.bytes());
     }
-    text += &Word::Leave(leaves).line();
-    let send = |stream: &UnixStream| {
-        let descriptors: Vec<_> = older.listeners.iter().map(|(_, fd)| fd.as_fd()).collect();
+    text.extend(Word::Leave(leaves).bytes());
+    let descriptors: Vec<_> = older.listeners.iter().map(|(_, fd)| fd.as_fd()).collect();
+    send(peer, &text, &descriptors).await
+}
+
+/// Writes all of it, with descriptors beside its first byte.
+async fn send(mut peer: &Async<UnixStream>, bytes: &[u8], descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
+    let first = |stream: &UnixStream| {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MOST_LISTENERS))];
         let mut control = SendAncillaryBuffer::new(&mut space);
-        control.push(SendAncillaryMessage::ScmRights(&descriptors));
-        let sent =
-            rustix::net::sendmsg(stream, &[IoSlice::new(text.as_bytes())], &mut control, SendFlags::NOSIGNAL);
+        control.push(SendAncillaryMessage::ScmRights(descriptors));
+        let sent = rustix::net::sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL);
         Ok(sent?)
     };
-    let sent = peer.write_with(send).await?;
-    let mut peer = peer;
-    peer.write_all(&text.as_bytes()[sent..]).await
+    let sent = peer.write_with(first).await?;
+    peer.write_all(&bytes[sent..]).await
 }
 
 /// Splits what belongs to the whole manager by the part that is this process's.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,8 @@
     pub limits: Cell<(usize, u64)>,
     /// Closed once the listeners are to accept no more.
     pub accepting: (Sender<()>, Receiver<()>),
+    /// To the process that follows this one and serves.
+    pub newer: RefCell<Option<Sender<handover::Passed>>>,
     /// Runs the actors.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Where the process stands.
@@ -77,6 +79,7 @@
         let shared = Rc::new(Shared {
             limits: Cell::new((sockets, memory_mb)),
             accepting: async_channel::bounded(1),
+            newer: RefCell::default(),
             executor: Rc::new(LocalExecutor::new()),
             life: RefCell::default(),
             console: Cell::new(false),
--- a/tests/inside/lifecycle.rs
+++ b/tests/inside/lifecycle.rs
@@ -72,7 +72,9 @@
                 life.ready() == (listed && drained.is_none() && stop.is_none()),
                 life.stopping() == stop.is_some(),
                 life.accepts_until().is_some() == stop.is_some(),
-                life.closes(now) == drained.is_some_and(|at| at + CLOSES <= now),
+                life.closes(now)
+                    == (drained.is_some_and(|at| at + CLOSES <= now)
+                        || (follows && stopped.is_some_and(|at| at + CLOSES_OVER <= now))),
                 (life.part() - part).abs() < 1e-9,
                 // Whoever follows has no more than what this one and those before it leave.
                 life.leaves() <= 1.0 + 1e-9 && (!follows || life.leaves() + 1e-9 >= 1.0 - rest + part),
