Rehearse drain, retuning and upgrades with real daemons, each as a test

Need: the parts of daily operation had tests of their machines alone. Change: steps of the kit for the second address, figures, kept clients, streams, retuning and a second process; three rehearsals; tests of a successor that dies, an old process that is killed halfway, a drain that passes on, callers that finish no call, and peers at the hand-over that are none.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -163,7 +163,7 @@
         }
     }
 
-    /// New settings for what comes from now on. Fresh classes start from what those that they follow have taught.
+    /// New settings for what comes from now on. Fresh classes start from what those they follow have taught.
     pub fn retune(&mut self, s: Settings, fresh: &[(ClassId, Option<ClassId>)]) {
         self.learned.resize_with(s.classes.len(), || Learned::first(&s.classes[0], TAIL_FIRST));
         for (class, heir_of) in fresh.iter().map(|(class, of)| (usize::from(class.0), of)) {
--- a/src/kit/clients.rs
+++ b/src/kit/clients.rs
@@ -1,13 +1,18 @@
 //! Stand-in clients of both fronts: one request on a connection of its own, and how it ended.
+use super::Executor;
 use super::engines::read_http;
 use crate::http::{self, Body};
+use async_channel::Sender;
 use async_io::Async;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
+use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde_json::{Value, json};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 
 /// How a request ended, as its client saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -106,6 +111,87 @@
     read_line(&stream, &mut input).await.map_or(Got::Cut, |line| rpc_got(&line))
 }
 
+/// How a request ended, once it has.
+pub type End = Rc<RefCell<Option<Got>>>;
+type Ends = Rc<RefCell<BTreeMap<u64, End>>>;
+
+/// A connection of the platform's protocol that is kept, with several requests open on it.
+pub struct Kept {
+    out: Sender<Vec<u8>>,
+    open: Ends,
+    closed: Rc<Cell<bool>>,
+    next: Cell<u64>,
+}
+
+impl Kept {
+    /// Connects.
+    pub fn open(executor: &Executor, addr: SocketAddr) -> Kept {
+        let (out, lines) = async_channel::unbounded::<Vec<u8>>();
+        let (open, closed) = (Ends::default(), Rc::default());
+        let kept = Kept { out, open: Rc::clone(&open), closed: Rc::clone(&closed), next: Cell::new(1) };
+        let task = async move {
+            if let Ok(stream) = Async::<TcpStream>::connect(addr).await {
+                let mut input = Vec::new();
+                loop {
+                    let line = async { Ok(read_line(&stream, &mut input).await) };
+                    let next = async { Err(lines.recv().await) };
+                    match or(line, next).await {
+                        Ok(Some(line)) => {
+                            let id =
+                                serde_json::from_slice::<Value>(&line).ok().and_then(|v| v["id"].as_u64());
+                            let end = id.and_then(|id| open.borrow_mut().remove(&id));
+                            if let Some(end) = end {
+                                *end.borrow_mut() = Some(rpc_got(&line));
+                            }
+                        }
+                        Err(Ok(bytes)) if (&stream).write_all(&bytes).await.is_ok() => {}
+                        _ => break,
+                    }
+                }
+            }
+            // What is still open is cut off.
+            open.borrow().values().for_each(|end| *end.borrow_mut() = Some(Got::Cut));
+            closed.set(true);
+        };
+        executor.spawn(task).detach();
+        kept
+    }
+
+    /// Sends a request, or the first part of it; what is left is given back.
+    pub fn ask(&self, words: (&str, &str, &str, u64, &str), end: End, part: usize) -> Vec<u8> {
+        let (class, key, tenant, wait, statement) = words;
+        let id = self.next.replace(self.next.get() + 1);
+        let mut line = rpc_line(id, class, key, tenant, wait, statement);
+        let rest = line.split_off(line.len() / part.max(1));
+        if self.closed.get() {
+            *end.borrow_mut() = Some(Got::Cut);
+        } else {
+            self.open.borrow_mut().insert(id, end);
+        }
+        self.send(line);
+        rest
+    }
+
+    /// Sends bytes as they are.
+    pub fn send(&self, bytes: Vec<u8>) {
+        let _ = self.out.try_send(bytes);
+    }
+
+    /// Whether the daemon has closed it.
+    pub fn closed(&self) -> bool {
+        self.closed.get()
+    }
+}
+
+/// Calls the second address: the status, and the body.
+pub async fn call(addr: SocketAddr, method: &str, path: &str) -> Option<(u16, String)> {
+    let mut stream = Async::<TcpStream>::connect(addr).await.ok()?;
+    let call = format!("{method} {path} HTTP/1.1\r\nHost: yokelift\r\n\r\n");
+    stream.write_all(call.as_bytes()).await.ok()?;
+    let (head, body) = read_http(&stream, &mut Vec::new(), Body::UntilClose).await?;
+    Some((head.first[1].parse().ok()?, String::from_utf8_lossy(&body).into_owned()))
+}
+
 /// Connects, says this and nothing more, and waits for the connection's end.
 pub async fn mute(addr: SocketAddr, hello: &'static [u8]) {
     let Ok(mut stream) = Async::<TcpStream>::connect(addr).await else { return };
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -63,6 +63,11 @@
         Ok(Folder(path))
     }
 
+    /// Where a file of it is.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+
     /// Writes a file into it.
     pub fn put(&self, name: &str, text: &str) -> std::io::Result<PathBuf> {
         let path = self.0.join(name);
@@ -82,6 +87,13 @@
     child: Child,
     /// Where clients of the platform's protocol connect.
     pub listen: SocketAddr,
+    /// Where operators connect, if anywhere.
+    pub console: Option<SocketAddr>,
+    /// The process that the present one follows.
+    older: Option<Child>,
+    starts: u32,
+    sockets: usize,
+    coordinator: SocketAddr,
     folder: Folder,
     known: Value,
 }
@@ -94,20 +106,24 @@
         known: &Value,
         deploy: Option<&str>,
         sockets: usize,
+        console: bool,
     ) -> Result<Daemon, String> {
         let folder = Folder::new().map_err(|e| e.to_string())?;
         let listen = free_addr();
         let text = config(listen, coordinator, known, sockets).to_string();
         let path = folder.put("config.json", &text).map_err(|e| e.to_string())?;
-        let mut command = Command::new(program);
-        command.env("PROXY_CONFIG", path).env("PROXY_NAME", "n0").env("PROXY_LISTEN", listen.to_string());
+        let console = console.then(free_addr);
+        let mut command = command(program, &folder, listen, console);
+        command.env("PROXY_CONFIG", path);
         if let Some(deploy) = deploy {
             command.arg(folder.put("clickhouse.toml", deploy).map_err(|e| e.to_string())?);
         }
         let log = std::fs::File::create(folder.0.join("log")).map_err(|e| e.to_string())?;
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         let child = child.map_err(|e| format!("{}: {e}", program.display()))?;
-        let mut daemon = Daemon { child, listen, folder, known: known.clone() };
+        let (older, starts, known) = (None, 1, known.clone());
+        let mut daemon =
+            Daemon { child, listen, console, older, starts, sockets, coordinator, folder, known };
         for _ in 0..2_000 {
             if clients::green(listen).await {
                 return Ok(daemon);
@@ -121,10 +137,94 @@
         Err(format!("the daemon did not become ready: {}", daemon.log()))
     }
 
-    fn signal(&self, signal: rustix::process::Signal) {
-        if let Some(pid) = rustix::process::Pid::from_raw(self.child.id() as i32) {
-            let _ = rustix::process::kill_process(pid, signal);
+    /// Starts a new version beside it, with a second address of its own.
+    pub fn launch(&mut self, program: &Path) -> Result<(), String> {
+        let console = Some(free_addr());
+        let mut command = command(program, &self.folder, self.listen, console);
+        command.env("PROXY_CONFIG", self.folder.0.join("config.json"));
+        let log = std::fs::File::create(self.folder.0.join(format!("log{}", self.starts)));
+        let child =
+            command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log.map_err(|e| e.to_string())?);
+        let child = child.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+        self.starts += 1;
+        self.older = Some(std::mem::replace(&mut self.child, child));
+        self.console = console;
+        Ok(())
+    }
+
+    /// The same, and waits until that says yes.
+    pub async fn follow(&mut self, program: &Path) -> Result<(), String> {
+        self.launch(program)?;
+        let console = self.console.ok_or("no second address")?;
+        for _ in 0..2_000 {
+            let said = clients::call(console, "GET", "/ready").await;
+            if said.is_some_and(|(status, _)| status == 200) {
+                return Ok(());
+            }
+            if self.child.try_wait().ok().flatten().is_some() {
+                break;
+            }
+            super::pause(5).await;
         }
+        Err("the new version did not become ready".into())
+    }
+
+    /// Asks the older process to end.
+    pub fn retire(&self) {
+        self.older.iter().for_each(|older| signal(older, rustix::process::Signal::TERM));
+    }
+
+    /// Waits for the end of the older process.
+    pub async fn retired(&mut self) -> Option<ExitStatus> {
+        let mut status = None;
+        eventually(|| {
+            status = self.older.as_mut().and_then(|older| older.try_wait().ok().flatten());
+            status.is_some()
+        })
+        .await;
+        self.older = None;
+        status
+    }
+
+    /// Kills the older process, or the newer one, after which the older one is the daemon again.
+    pub fn kill(&mut self, newer: bool) {
+        let Some(mut older) = self.older.take() else { return };
+        if newer {
+            std::mem::swap(&mut older, &mut self.child);
+        }
+        let _ = older.kill();
+        let _ = older.wait();
+    }
+
+    /// Writes a configuration with other classes (`NAME:SEMANTICS`) and another number of attempts, and says so.
+    pub fn retune(&self, words: &[&str]) -> Result<(), String> {
+        let mut text = config(self.listen, self.coordinator, &self.known, self.sockets);
+        let usual = text["settings"]["classes"].as_array().cloned().unwrap_or_default();
+        let mut classes = Vec::new();
+        for word in words {
+            let (name, rule) = word.split_once(':').ok_or("NAME:SEMANTICS, or attempts:COUNT")?;
+            if name == "attempts" {
+                text["settings"]["limits"]["send_cap"] =
+                    rule.parse::<i64>().map_err(|e| e.to_string())?.into();
+                continue;
+            }
+            let mut class = usual.iter().find(|c| c["name"] == name).unwrap_or(&usual[0]).clone();
+            (class["name"], class["semantics"]) = (name.into(), rule.into());
+            classes.push(class);
+        }
+        let is_load = |c: &Value| c["semantics"] == "side_effect";
+        let extra = &mut text["settings"]["extra"];
+        extra["loads"] = classes.iter().map(is_load).collect();
+        extra["blocked_by_loads"] = classes.iter().map(|_| false).collect();
+        extra["class_threads"] = classes.iter().map(|_| 1.0).collect();
+        text["settings"]["classes"] = classes.into();
+        self.folder.put("config.json", &text.to_string()).map_err(|e| e.to_string())?;
+        self.signal(rustix::process::Signal::HUP);
+        Ok(())
+    }
+
+    fn signal(&self, what: rustix::process::Signal) {
+        signal(&self.child, what);
     }
 
     /// Writes a new configuration that names another coordinator, or one that can't be used, and says so.
@@ -154,7 +254,9 @@
 
     /// All that it logged so far.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.0.join("log")).unwrap_or_default()
+        let name = |start: u32| if start == 0 { "log".to_owned() } else { format!("log{start}") };
+        let read = |start| std::fs::read_to_string(self.folder.0.join(name(start))).unwrap_or_default();
+        (0..self.starts).map(read).collect()
     }
 
     /// Asks it to print its counters.
@@ -175,8 +277,24 @@
     }
 }
 
+fn command(program: &Path, folder: &Folder, listen: SocketAddr, console: Option<SocketAddr>) -> Command {
+    let mut command = Command::new(program);
+    command.env("PROXY_NAME", "n0").env("PROXY_LISTEN", listen.to_string()).env("TMPDIR", &folder.0);
+    if let Some(console) = console {
+        command.env("PROXY_CONSOLE", console.to_string());
+    }
+    command
+}
+
+fn signal(child: &Child, signal: rustix::process::Signal) {
+    if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
+        let _ = rustix::process::kill_process(pid, signal);
+    }
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
+        self.kill(false);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/src/kit/script.rs
+++ b/src/kit/script.rs
@@ -28,11 +28,24 @@
 //! | `spoil` | the daemon is told to read a configuration that can't be used |
 //! | `until COUNTER VALUE` | waits until a counter of the daemon has come so far; `+N` is N more than now |
 //! | `busy`, `idle` | the directory answers searches with an error; answers again |
+//! | `console` | the daemon gets a second address, for operators; before `start` |
+//! | `call METHOD PATH STATUS` | a call to it, until it is answered with that status |
+//! | `figure NAME VALUE` | waits until a figure there has that value; `runs`: as often as engines were sent queries |
+//! | `keep NAME` | a client that keeps its connection of the platform's protocol |
+//! | `ask NAME on KEPT CLASS TENANT WAIT-MS STATEMENT` | a query on it |
+//! | `begin NAME on KEPT ...`, `rest KEPT` | the first half of such a query; the other half |
+//! | `closed KEPT`, `kept KEPT` | waits until the daemon has closed it; it must still be open |
+//! | `retune NAME:SEMANTICS ... attempts:COUNT` | a new configuration with these classes, and SIGHUP |
+//! | `launch`, `follow` | a new version is started beside the daemon; and waited for until it says yes |
+//! | `retire`, `retired` | asks the older process to end; waits for its end, which has to be clean |
+//! | `kill older\|newer` | |
+//! | `stream NAME CLASS TENANT WAIT-MS COUNT GAP-MS` | so many queries, one after the other, on connections that are kept |
+//! | `expect-all NAME served` | waits for all their ends and compares |
 //! | `wait MS` | |
 //! | `term` | asks the daemon to end |
 //! | `ended` | waits for its end, which has to be clean |
 //! | `counter NAME VALUE` | compares a counter, after `ended` |
-use super::clients::{self, Got};
+use super::clients::{self, Got, Kept};
 use super::coordinator::{self, Coordinator};
 use super::daemon::{Daemon, KINDS, ZONES, free_addr};
 use super::directory::Directory;
@@ -65,6 +78,9 @@
     users: String,
     daemon: Option<Daemon>,
     sockets: usize,
+    console: bool,
+    kept: BTreeMap<String, (Kept, Vec<u8>)>,
+    streams: BTreeMap<String, Vec<Rc<RefCell<Option<Got>>>>>,
     mute: BTreeMap<String, Vec<Task<()>>>,
     http: SocketAddr,
     occupied: Option<TcpListener>,
@@ -85,6 +101,9 @@
         users: String::new(),
         daemon: None,
         sockets: 1_024,
+        console: false,
+        kept: BTreeMap::new(),
+        streams: BTreeMap::new(),
         mute: BTreeMap::new(),
         http: free_addr(),
         occupied: None,
@@ -179,7 +198,8 @@
                 for tries in 1.. {
                     let deploy = self.deploy();
                     let deploy = Some(deploy.as_str()).filter(|_| second);
-                    match Daemon::start(self.program, at, &known, deploy, self.sockets).await {
+                    let started = Daemon::start(self.program, at, &known, deploy, self.sockets, self.console);
+                    match started.await {
                         Err(e) if tries < 5 && e.contains("Address already in use") => {
                             self.http = free_addr()
                         }
@@ -203,11 +223,116 @@
                     _ => return Err("no such act".into()),
                 });
             }
+            ["console"] => self.console = true,
+            ["call", method, path, status] => {
+                let console = self.daemon.as_ref().and_then(|d| d.console).ok_or("no second address")?;
+                let wanted = number(status)?;
+                while clients::call(console, method, path).await.is_none_or(|(s, _)| u64::from(s) != wanted) {
+                    pause(10).await;
+                }
+            }
+            ["figure", name, value] => {
+                let console = self.daemon.as_ref().and_then(|d| d.console).ok_or("no second address")?;
+                let runs: usize = self.queries.keys().map(|query| self.book.of(query).len()).sum();
+                let value = if value == "runs" { runs.to_string() } else { value.to_owned() };
+                let wanted = format!("app.{name}:{value}|");
+                while clients::call(console, "GET", "/metrics")
+                    .await
+                    .is_none_or(|(_, text)| !text.lines().any(|line| line.starts_with(&wanted)))
+                {
+                    pause(10).await;
+                }
+            }
+            ["keep", name] => {
+                let listen = self.daemon.as_ref().ok_or("not started")?.listen;
+                let kept = Kept::open(&self.executor, listen);
+                self.kept.insert(name.to_owned(), (kept, Vec::new()));
+            }
+            [how @ ("ask" | "begin"), name, "on", kept, class, tenant, wait, ..] => {
+                let statement = format!("{} /* {name} */", words[7..].join(" "));
+                let key = format!("{:016x}", self.queries.len() + 1);
+                let (kept, rest) = self.kept.get_mut(kept).ok_or("no such client")?;
+                let got = Rc::<RefCell<Option<Got>>>::default();
+                let asked = (class, key.as_str(), tenant, number(wait)?, statement.as_str());
+                let left = kept.ask(asked, got.clone(), if how == "begin" { 2 } else { 1 });
+                rest.extend(left);
+                self.queries
+                    .insert(name.to_owned(), Query { task: None, got, leaves: Rc::default(), told: false });
+            }
+            ["rest", kept] => {
+                let (kept, rest) = self.kept.get_mut(kept).ok_or("no such client")?;
+                kept.send(std::mem::take(rest));
+            }
+            ["closed", kept] => {
+                let (kept, _) = self.kept.get(kept).ok_or("no such client")?;
+                eventually(|| kept.closed()).await.then_some(()).ok_or("it is still open")?;
+            }
+            ["kept", kept] => {
+                let (kept, _) = self.kept.get(kept).ok_or("no such client")?;
+                (!kept.closed()).then_some(()).ok_or("it is closed")?;
+            }
+            ["retune", ..] => self.daemon.as_ref().ok_or("not started")?.retune(&words[1..])?,
+            ["launch"] => self.daemon.as_mut().ok_or("not started")?.launch(self.program)?,
+            ["follow"] => self.daemon.as_mut().ok_or("not started")?.follow(self.program).await?,
+            ["retire"] => self.daemon.as_ref().ok_or("not started")?.retire(),
+            ["retired"] => {
+                let status =
+                    self.daemon.as_mut().ok_or("not started")?.retired().await.ok_or("it goes on")?;
+                status.success().then_some(()).ok_or(format!("{status}"))?;
+            }
+            ["kill", which @ ("older" | "newer")] => {
+                self.daemon.as_mut().ok_or("not started")?.kill(which == "newer");
+            }
+            ["stream", name, class, tenant, wait, count, gap] => {
+                let listen = self.daemon.as_ref().ok_or("not started")?.listen;
+                let ends = self.streams.entry(name.to_owned()).or_default();
+                let all: Vec<_> =
+                    (0..number(count)?).map(|_| Rc::<RefCell<Option<Got>>>::default()).collect();
+                ends.extend(all.clone());
+                let (class, tenant) = (class.to_owned(), tenant.to_owned());
+                let (wait, gap, name) = (number(wait)?, number(gap)?, name.to_owned());
+                let executor = self.executor.clone();
+                let task = async move {
+                    let open = || Kept::open(&executor, listen);
+                    let mut kept = [open(), open(), open()];
+                    for (at, end) in all.into_iter().enumerate() {
+                        let lane = &mut kept[at % 3];
+                        // As the front does: a connection that the daemon closed is replaced.
+                        if lane.closed() {
+                            *lane = Kept::open(&executor, listen);
+                        }
+                        let key = format!("{:016x}", 0x5000_0000 + at);
+                        let statement = format!("SELECT 1 /* {name}{at} */");
+                        lane.ask((&class, &key, &tenant, wait, &statement), end, 1);
+                        pause(gap).await;
+                    }
+                    // They stay until the last answer.
+                    std::future::pending::<()>().await;
+                };
+                self.mute.entry(String::new()).or_default().push(self.executor.spawn(task));
+            }
+            ["expect-all", name, "served"] => {
+                let ends = self.streams.get(name).ok_or("no such stream")?;
+                eventually(|| ends.iter().all(|end| end.borrow().is_some())).await;
+                let served = |end: &&Rc<RefCell<Option<Got>>>| matches!(&*end.borrow(), Some(Got::Served(_)));
+                let served = ends.iter().filter(served).count();
+                (self.said)(&format!("{name}: {served} of {} served", ends.len()));
+                if served < ends.len() {
+                    let other = ends.iter().map(|end| format!("{:?}", end.borrow()));
+                    let other: Vec<String> = other.filter(|end| !end.contains("Served")).collect();
+                    return Err(other.join(", "));
+                }
+            }
             ["ask", name, ..] => self.ask(name, &words[2..])?,
             ["sockets", count] => self.sockets = number(count)? as usize,
             [how @ ("mute" | "stay"), name, front, count] => {
                 let listen = self.daemon.as_ref().ok_or("not started")?.listen;
-                let addr = if front == "http" { self.http } else { listen };
+                let console = self.daemon.as_ref().and_then(|daemon| daemon.console);
+                let addr = match front {
+                    "http" => self.http,
+                    "console" => console.ok_or("no second address")?,
+                    _ => listen,
+                };
                 let hello: &[u8] = match (how, front) {
                     ("mute", _) => b"",
                     (_, "http") => clients::PING,
--- a/src/lifecycle/words.rs
+++ b/src/lifecycle/words.rs
@@ -140,6 +140,10 @@
     }
 }
 
+/// What came is no word of this version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoWord;
+
 /// Cuts what comes into words.
 #[derive(Default)]
 pub struct Reader {
@@ -150,7 +154,7 @@
 
 impl Reader {
     /// The words that are whole by now; an error for anything else.
-    pub fn feed(&mut self, input: &[u8]) -> Result<Vec<Word>, ()> {
+    pub fn feed(&mut self, input: &[u8]) -> Result<Vec<Word>, NoWord> {
         self.input.extend_from_slice(input);
         let mut words = Vec::new();
         loop {
@@ -164,10 +168,10 @@
                 words.extend(self.begun.take());
             }
             let Some(end) = self.input.iter().position(|c| *c == b'\n') else {
-                return if self.input.len() > MOST_LINE { Err(()) } else { Ok(words) };
+                return if self.input.len() > MOST_LINE { Err(NoWord) } else { Ok(words) };
             };
-            let text = std::str::from_utf8(&self.input[..end]).map_err(|_| ())?;
-            self.begun = Some(Word::read(text).ok_or(())?);
+            let text = std::str::from_utf8(&self.input[..end]).map_err(|_| NoWord)?;
+            self.begun = Some(Word::read(text).ok_or(NoWord)?);
             self.input.drain(..=end);
         }
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -171,6 +171,9 @@
     pub older: Sender<Word>,
 }
 
+/// Both ends of a connection's mailbox, with the mark of the request that each answer is for.
+type Mailbox = (Sender<(u64, Answer)>, Receiver<(u64, Answer)>);
+
 /// Starts the actor of a connection, and gives its mailbox.
 pub fn start<F: Front + 'static>(
     shared: &Rc<Shared>,
@@ -183,21 +186,18 @@
     let (answers, mailbox) = bounded(MAILBOX);
     let (all, mine, socket) = (shared.clone(), answers.clone(), Held::new(&shared.client_sockets));
     shared.spawn(async move {
-        actor(&all, core, stream, conn, front, adopted, socket, (mine, mailbox)).await;
+        actor(&all, core, (stream, socket, conn), front, adopted, (mine, mailbox)).await;
     });
     answers
 }
 
-#[allow(clippy::too_many_arguments)]
 async fn actor(
     shared: &Shared,
     core: Sender<Input>,
-    stream: Async<TcpStream>,
-    conn: u64,
+    (stream, socket, conn): (Async<TcpStream>, Held, u64),
     front: impl Front,
     adopted: Option<Adopted>,
-    socket: Held,
-    (answers, mailbox): (Sender<(u64, Answer)>, Receiver<(u64, Answer)>),
+    (answers, mailbox): Mailbox,
 ) {
     let (shed, shedding) = bounded(1);
     let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
@@ -298,12 +298,11 @@
             }
             // The program does not end while this one has something to write.
             busy = if writing { busy.or_else(|| Some(Held::new(&self.shared.unwritten))) } else { None };
-            if standing.passes.get()
-                && self.front.useful()
-                && let Some(newer) = self.shared.newer.borrow().clone()
-                && let Some(handed) = self.front.hand_over()
-            {
-                return self.pass(newer, handed, mailbox).await;
+            if standing.passes.get() && self.front.useful() {
+                let newer = self.shared.newer.borrow().clone();
+                if let Some((newer, handed)) = newer.zip(self.front.hand_over()) {
+                    return self.pass(newer, handed, mailbox).await;
+                }
             }
             let waits = self.unwritten.len() - self.written;
             self.held.set(waits);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -123,7 +123,7 @@
         if n == 0 {
             return Err("it closed the connection".into());
         }
-        for word in reader.feed(&piece[..n]).map_err(|()| "it speaks another protocol")? {
+        for word in reader.feed(&piece[..n]).map_err(|_| "it speaks another protocol")? {
             match word {
                 Word::Take(listed) => addrs = listed,
                 Word::Drained => drained = true,
@@ -444,3 +444,43 @@
         Timer::after(LOOK).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::kit::daemon::Folder;
+    use async_io::block_on;
+    use std::io::{Read, Write};
+
+    /// Guards the start of the daemon: what a dead process left behind, and peers of another version, that speak
+    /// garbage, pass nothing, go away or hang, are left aside.
+    #[test]
+    fn a_start_goes_on_without_a_peer_that_is_none() {
+        let folder = Folder::new().expect("a folder");
+        let place = folder.path("yokelift-n0.sock");
+        let asks = || block_on(ask(&place, "n0")).is_none();
+        assert!(asks(), "nobody there");
+        drop(UnixListener::bind(&place).expect("a socket"));
+        assert!(place.exists() && asks(), "a dead one's socket");
+        for said in
+            ["yokelift-handover 2 n0\n", "\u{1}\u{2}garbage\n", "take 127.0.0.1:1\nleave 0.5\n", "", "-"]
+        {
+            let _ = std::fs::remove_file(&place);
+            let listener = UnixListener::bind(&place).expect("a socket");
+            let peer = std::thread::spawn(move || {
+                let (mut stream, _) = listener.accept().expect("a caller");
+                let mut hello = [0; 64];
+                let n = stream.read(&mut hello).expect("a hello");
+                assert_eq!(&hello[..n], b"yokelift-handover 1 n0\n");
+                match said {
+                    "" => {}
+                    // Says nothing until the caller gives up.
+                    "-" => drop(stream.read(&mut hello)),
+                    said => drop(stream.write_all(said.as_bytes())),
+                }
+            });
+            assert!(asks(), "{said:?}");
+            peer.join().expect("the peer's checks");
+        }
+    }
+}
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,74 @@
+//! Daily operation of the daemon as it is shipped, between stand-ins on loopback.
+use std::path::Path;
+use yokelift::kit::script;
+
+fn play(text: &str) {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_yokelift"));
+    if let Err(wrong) = script::play(daemon, text, &mut |_| {}) {
+        panic!("{}", wrong.join("\n"));
+    }
+}
+
+/// Guards readiness, the figures, and clients that are sent away: none is held, none loses a request.
+#[test]
+fn a_drain_lets_clients_go_and_loses_nothing() {
+    play(include_str!("../rehearsals/drain.txt"));
+}
+
+/// Guards open requests against new rules, and new ones against old rules; and that a bad file changes nothing.
+#[test]
+fn a_new_configuration_is_taken_whole_or_not_at_all() {
+    play(include_str!("../rehearsals/retune.txt"));
+}
+
+/// Guards each request through a change of versions: one answer, a load run once, no connection lost.
+#[test]
+fn a_new_version_takes_over_and_nobody_notices() {
+    play(include_str!("../rehearsals/upgrade.txt"));
+}
+
+/// Guards the process that runs against a successor that dies before or after its yes: it serves on, and another
+/// can follow.
+#[test]
+fn a_new_version_that_dies_leaves_the_old_one_serving() {
+    play(
+        "engine one platform\nconsole\nstart\nkeep client\nfollow\nkill newer\n\
+        ask a on client lookup billing-desk 9000 SELECT 1\nexpect a served\n\
+        ask b rpc lookup billing-desk 9000 SELECT 1\nexpect b served\n\
+        follow\nretire\nretired\nkept client\nask c on client lookup billing-desk 9000 SELECT 1\n\
+        expect c served\nterm\nended\ncounter open 0",
+    );
+}
+
+/// Guards clients whose connection passed on before its old process was killed: what it had open fails at once,
+/// the load is not run again, and the connection goes on.
+#[test]
+fn an_old_version_killed_halfway_fails_only_what_it_had_open() {
+    play(
+        "engine one platform\nconsole\nstart\nkeep client\n\
+        ask hello on client lookup billing-desk 9000 SELECT 1\nexpect hello served\non one hang\n\
+        ask load on client load billing-desk 9000 INSERT INTO ops_1.calls SELECT 1\nseen load\n\
+        follow\nretire\nwait 600\nask a on client lookup billing-desk 9000 SELECT 1\nexpect a served\n\
+        kill older\nexpect load failed\nruns load 1\nkept client\n\
+        ask b on client lookup billing-desk 9000 SELECT 1\nexpect b served\nterm\nended\ncounter open 0",
+    );
+}
+
+/// Guards a drain that operators began: it outlives the process that was told.
+#[test]
+fn a_drain_passes_to_the_new_version() {
+    play(
+        "engine one platform\nconsole\nstart\ncall POST /drain 200\nlaunch\ncall GET /ready 503\n\
+        call POST /undrain 200\ncall GET /ready 200\nretire\nretired\n\
+        ask a rpc lookup billing-desk 9000 SELECT 1\nexpect a served\nterm\nended",
+    );
+}
+
+/// Guards operators against a crowd at their own door: callers that finish no call cost nobody an answer.
+#[test]
+fn callers_that_finish_no_call_keep_nobody_out() {
+    play(
+        "engine one platform\nconsole\nstart\nmute crowd console 60\ncall GET /ready 200\n\
+        call GET /metrics 200\nshut crowd\nterm\nended",
+    );
+}
