--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -32,7 +32,7 @@
     pub loads: RefCell<Vec<bool>>,
     /// Whether all engines of the pool know databases, not only qualified names.
     pub databases: Box<dyn Fn() -> bool>,
-    /// Whether the program is asked to end.
+    /// Whether clients are sent away: each answer says that its connection ends.
     pub stopping: Box<dyn Fn() -> bool>,
     /// Makes a name for a request: 16 hex digits, never the same.
     pub new_key: Box<dyn Fn() -> String>,
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -153,6 +153,11 @@
         self.stopping_at.is_some()
     }
 
+    /// Whether a client is better told with its answer that the connection ends, where its protocol has a word for it.
+    pub fn sends_away(&self) -> bool {
+        self.stopping() || self.drained()
+    }
+
     /// Until when it accepts connections: forever unless it was asked to end. With a successor at the same line
     /// nothing that waits there is lost.
     pub fn accepts_until(&self) -> Option<Micros> {
--- a/src/lifecycle/words.rs
+++ b/src/lifecycle/words.rs
@@ -14,7 +14,7 @@
 /// A longer line is no line of this protocol.
 pub const MOST_LINE: usize = 2_048;
 /// Nor are more bytes behind one.
-const MOST_BYTES: usize = 64 << 20;
+const MOST_BYTES: usize = 4 << 20;
 const HELLO: &str = "yokelift-handover 1";
 
 /// A line.
--- a/src/main.rs
+++ b/src/main.rs
@@ -63,7 +63,7 @@
         deadlines: RefCell::new(config.settings.classes.iter().map(|c| clock::micros(c.deadline)).collect()),
         loads: RefCell::new(config.settings.classes.iter().map(|c| c.is_load).collect()),
         databases: Box::new(move || databases.databases.get()),
-        stopping: Box::new(move || stopping.life.borrow().stopping()),
+        stopping: Box::new(move || stopping.life.borrow().sends_away()),
         // A walk through all numbers from a place that is new with each start.
         new_key: Box::new(move || {
             next.set(next.get().wrapping_add(0x9E37_79B9_7F4A_7C15));
