--- a/src/config.rs
+++ b/src/config.rs
@@ -197,3 +197,81 @@
     let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
     parse(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::kit::daemon;
+    use serde_json::json;
+
+    fn good() -> Value {
+        let addr = SocketAddr::from(([127, 0, 0, 1], 5050));
+        daemon::config(addr, addr, &json!({"index": 0, "updates": []}), 64)
+    }
+
+    fn with(change: impl Fn(&mut Value)) -> Value {
+        let mut text = good();
+        change(&mut text);
+        text
+    }
+
+    /// Guards a manager in service against a file that is not whole: whatever key is cut out of it, it is noticed.
+    #[test]
+    fn a_file_that_lacks_any_key_is_not_whole() {
+        let old = with(|c| c["console"] = json!("127.0.0.1:1"));
+        assert_eq!(lacks(&old, &old), None);
+        // The events of the coordinator are another matter, and operators' address can't move anyway.
+        assert_eq!(lacks(&good(), &old), None);
+        let keys =
+            |v: &Value| v.as_object().map(|o| o.keys().cloned().collect::<Vec<_>>()).unwrap_or_default();
+        for key in keys(&good()) {
+            let cut = with(|c| drop(c.as_object_mut().and_then(|c| c.remove(&key))));
+            assert_eq!(lacks(&cut, &old), Some(key));
+        }
+        for part in ["extra", "invariants", "limits", "load_info"] {
+            for key in keys(&good()["settings"][part]) {
+                let cut = with(|c| drop(c["settings"][part].as_object_mut().and_then(|c| c.remove(&key))));
+                assert_eq!(lacks(&cut, &old), Some(format!("settings.{part}.{key}")));
+            }
+        }
+        for key in keys(&good()["settings"]["classes"][1]) {
+            let cut =
+                with(|c| drop(c["settings"]["classes"][1].as_object_mut().and_then(|c| c.remove(&key))));
+            assert_eq!(lacks(&cut, &old), Some(format!("classes[].{key}")));
+        }
+        // A class that nothing is told of, beside its own lines.
+        let more = with(|c| {
+            let mut class = c["settings"]["classes"][0].clone();
+            class["name"] = json!("further");
+            c["settings"]["classes"].as_array_mut().expect("a list").push(class);
+        });
+        assert_eq!(lacks(&more, &old), Some("extra.class_threads[]".into()));
+    }
+
+    /// Guards against defaults in the place of what a file says wrongly.
+    #[test]
+    fn what_can_not_be_used_is_told() {
+        let parse = |text: &Value| super::parse(text.to_string().as_bytes());
+        assert!(parse(&good()).is_ok());
+        let class = |key: &str, value: Value| with(|c| c["settings"]["classes"][0][key] = value.clone());
+        for bad in [
+            class("deadline_ns", json!(0)),
+            class("deadline_ns", json!(-5)),
+            class("deadline_ns", json!("6s")),
+            class("name", json!("report")),
+            class("name", json!("")),
+            class("semantics", json!("perhaps")),
+            with(|c| c["settings"]["limits"]["send_cap"] = json!(0)),
+            with(|c| c["settings"]["limits"]["send_cap"] = json!(-1)),
+            with(|c| c["settings"]["limits"]["send_cap"] = json!(1.5)),
+            with(|c| c["settings"]["classes"] = json!([])),
+            with(|c| c["settings"] = Value::Null),
+            with(|c| c["console"] = json!("nowhere")),
+        ] {
+            assert!(parse(&bad).is_err(), "{bad}");
+        }
+        for text in ["", "{", "[]", "null"] {
+            assert!(super::parse(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -675,3 +675,48 @@
     let again = sends(&rig.tell(outcome(1, 0, stands, OutcomeKind::Cancelled, 680 * MS)));
     assert!(again.len() == 1 && again[0].1 != stands, "{again:?}");
 }
+
+/// Guards engines against two processes of one gateway: each keeps to its part of the bound, and grows back alone.
+#[test]
+fn a_part_of_a_gateway_keeps_to_its_part_of_the_bound() {
+    let sent = |part: f64| {
+        let mut rig = Rig::new(settings(), vec![entry(1, 0, 0)]);
+        rig.g.split(0.25);
+        rig.g.split(part);
+        let asks = (0..30).map(|id| Event::Request(ask(id, 0, rig.now, 6 * S, 200 * MS)));
+        asks.collect::<Vec<_>>().into_iter().map(|ask| sends(&rig.tell(ask)).len()).sum::<usize>()
+    };
+    assert_eq!((sent(1.0), sent(0.5)), (16, 8));
+}
+
+/// Guards rule 4 for the sum of both: cold engines get from two halves no more than from one whole.
+#[test]
+fn two_halves_send_a_cold_engine_no_more_than_a_whole() {
+    let sent = |part: f64| {
+        let mut rig = Rig::new(settings(), vec![EngineEntry { ready_at: T0, ..entry(1, 0, 0) }]);
+        rig.g.split(part);
+        let asks = (0..60).map(|id| Event::Request(ask(id, 0, rig.now, 6 * S, 400 * MS)));
+        asks.collect::<Vec<_>>().into_iter().map(|ask| sends(&rig.tell(ask)).len()).sum::<usize>()
+    };
+    let (whole, half) = (sent(1.0), sent(0.5));
+    assert!(half > 0 && 2 * half <= whole, "{half} of {whole}");
+}
+
+/// Guards open queries against a new configuration: they keep their number of attempts, new ones have theirs, and a
+/// fresh class starts from what its predecessor has taught.
+#[test]
+fn what_is_open_keeps_its_attempts_through_new_settings() {
+    let mut rig = Rig::new(settings(), two());
+    let first = sends(&rig.tell(Event::Request(ask(1, 0, rig.now, 6 * S, 200 * MS))))[0].1;
+    let mut next = settings();
+    next.limits.send_cap = 1;
+    next.classes.push(class(Effect::Unsafe, 1.0, S, 6 * S));
+    rig.g.retune(next, &[(ClassId(4), Some(ClassId(0)))]);
+    let again = sends(&rig.tell(outcome(1, 0, first, OutcomeKind::ConnectFailed, 5 * MS)));
+    assert_eq!(again.len(), 1, "the open one goes on");
+    let second = sends(&rig.tell(Event::Request(ask(2, 4, rig.now, 6 * S, 200 * MS))))[0].1;
+    let acts = rig.tell(outcome(2, 0, second, OutcomeKind::ConnectFailed, 5 * MS));
+    let acts: Vec<Action> = acts.into_iter().chain(rig.pass(7 * S)).collect();
+    assert!(sends(&acts).iter().all(|(id, _)| *id != 2), "the new one has one attempt");
+    assert_eq!(finals(&acts).iter().filter(|(id, _)| *id == 2).count(), 1);
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -72,3 +72,23 @@
         call GET /metrics 200\nshut crowd\nterm\nended",
     );
 }
+
+/// Guards operators against a daemon that runs without the address that they were promised: it does not start, and
+/// says why in one line.
+#[test]
+fn a_console_that_can_not_be_had_ends_the_start() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let known = serde_json::json!({"index": 0, "updates": []});
+    let addr = |l: &std::net::TcpListener| l.local_addr().expect("an address");
+    let config = yokelift::kit::daemon::config(yokelift::kit::daemon::free_addr(), addr(&taken), &known, 64);
+    let folder = yokelift::kit::daemon::Folder::new().expect("a folder");
+    let path = folder.put("config.json", &config.to_string()).expect("a file");
+    for console in [addr(&taken).to_string(), "nowhere".to_owned()] {
+        let mut daemon = std::process::Command::new(env!("CARGO_BIN_EXE_yokelift"));
+        daemon.env("PROXY_CONFIG", &path).env("PROXY_CONSOLE", &console).env("TMPDIR", folder.path(""));
+        let ended = daemon.output().expect("its end");
+        let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(!ended.status.success() && said.lines().count() == 1, "{said}");
+        assert!(said.contains("console") || said.contains("PROXY_CONSOLE"), "{said}");
+    }
+}
