--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -92,3 +92,18 @@
         assert!(said.contains("console") || said.contains("PROXY_CONSOLE"), "{said}");
     }
 }
+
+/// Guards settings that change while something else does: twice in quick succession, in a drain, and between two
+/// processes. What the last file says holds, and nothing else is disturbed.
+#[test]
+fn new_settings_come_at_any_moment() {
+    play(
+        "engine one platform\nconsole\nstart\ncall POST /drain 200\n\
+        retune lookup:pure extra:pure attempts:2\nfigure reload_success 1\ncall GET /ready 503\n\
+        call POST /undrain 200\nask a rpc extra billing-desk 9000 SELECT 1\nexpect a served\n\
+        retune lookup:pure attempts:2\nretune lookup:pure other:pure attempts:3\nfigure replies.other.success 0\n\
+        ask b rpc other billing-desk 9000 SELECT 1\nexpect b served\nfollow\n\
+        retune lookup:pure third:pure attempts:3\nfigure replies.third.success 0\nretire\nretired\n\
+        ask c rpc third billing-desk 9000 SELECT 1\nexpect c served\nterm\nended",
+    );
+}
