Keep the second address within a sixteenth of all descriptors

Need: sixteen callers are more than the spare quarter holds where a manager may have few descriptors, or half of them beside a second process. Change: at most a sixteenth of the limit, two at least.

--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -14,8 +14,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Callers at once. Their descriptors are set aside from the limit before clients and engines get their parts.
-pub const CALLERS: usize = 16;
+/// Callers at once at most. Their descriptors are of the quarter that neither clients nor engines get: a part of it.
+const CALLERS: usize = 16;
+const PART: usize = 16;
 /// A caller owes its call, and takes its answer, within this time.
 const OWED: Micros = 2 * SEC;
 /// After the answer a little of what the caller still sends is taken in, lest a reset takes the answer along.
@@ -36,7 +37,8 @@
                 continue;
             }
         };
-        if places.borrow().len() >= CALLERS {
+        let most = (shared.limits.get().0 / PART).clamp(2, CALLERS);
+        if places.borrow().len() >= most {
             places.borrow_mut().pop_first().map(|(_, oldest)| oldest.close());
         }
         let (place, shed) = bounded(1);
