Add fleet membership as a pure SWIM machine with versions and a postcard wire

Change: src/membership/ has probes, indirect probes through k others, suspicion and refutation by incarnation, piggybacked news within a bounded datagram, versions carried by every member, and the straggler's rule by the majority of all members. src/membership/wire.rs reads and writes postcard behind a tag of the format.

Nothing uses the machine yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lifecycle;
 pub mod log;
 pub mod manager;
+pub mod membership;
 pub mod net;
 pub mod settings;
 pub mod spool;
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,579 @@
+//! Membership of the fleet's managers, in the SWIM family. Pure: events with the time in, messages to send and
+//! changes to report out; randomness only from the seed it is made with.
+//!
+//! Each period a manager pings one member, in a shuffled round; without an ack within the probe's time it asks `k`
+//! others to ping for it; without any ack by the end of the period the member is suspected, and declared dead once the
+//! suspicion has stood unrefuted for its time. A member that hears itself suspected refutes with a higher incarnation.
+//! What changed rides on pings and acks, each change a bounded number of times, within a bounded datagram.
+//!
+//! Every member also carries its [`Versions`]: the build, the settings generation and the list version it acts on.
+//! From these, [`straggling`] tells a manager whether the fleet's majority has moved on without it.
+pub mod wire;
+
+use crate::clock::{MS, Micros, SEC};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// What a manager acts on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Versions {
+    /// The program's build.
+    pub build: String,
+    /// The number of the settings generation: 1 at the start, one more for each configuration taken.
+    pub generation: u64,
+    /// A hash of the settings that generation holds, so that equal numbers of unequal files tell apart.
+    pub settings: u64,
+    /// The number of the last event of the endpoint list taken.
+    pub list: u64,
+    /// Where the process stands: `starting`, `ready`, `draining`, `stopping`, `shut-out`.
+    pub stage: String,
+}
+
+/// What a member is taken to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Health {
+    /// It answers.
+    Alive,
+    /// It did not answer a round of probes; it may still refute.
+    Suspect,
+    /// Suspected for longer than the suspicion's time.
+    Dead,
+    /// It said that it goes.
+    Left,
+}
+
+/// A member's news, as it is passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where its datagrams are taken.
+    pub addr: SocketAddr,
+    /// Higher in each life, and within a life at each refutation or change of versions.
+    pub incarnation: u64,
+    /// What it is taken to be.
+    pub health: Health,
+    /// What it acts on.
+    pub versions: Versions,
+}
+
+/// What a datagram asks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Answer with an ack of this number.
+    Ping(u32),
+    /// An answer to a ping of this number.
+    Ack(u32),
+    /// Ping this member for me and pass its ack back under my number.
+    PingReq(u32, SocketAddr),
+    /// The sender goes.
+    Leave,
+}
+
+/// One datagram between managers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's own news: every datagram is a sign of life.
+    pub from: Rumour,
+    /// What it asks.
+    pub kind: Kind,
+    /// News of others.
+    pub gossip: Vec<Rumour>,
+}
+
+/// The timings and bounds of the protocol.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// One probe a period.
+    pub period_ms: u64,
+    /// The direct ping's time, within the period.
+    pub probe_ms: u64,
+    /// Others asked to ping when the direct ping was not acked.
+    pub indirect: usize,
+    /// Periods that a suspicion stands before the member is declared dead, times log2 of the members.
+    pub suspicion_periods: u64,
+    /// How many times a change is passed on, times log2 of the members.
+    pub retransmit: u64,
+    /// The largest datagram.
+    pub datagram: usize,
+    /// How long a manager may stay behind the fleet's majority before it is brought up, and as long again before it
+    /// is shut out.
+    pub grace_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            period_ms: 500,
+            probe_ms: 200,
+            indirect: 3,
+            suspicion_periods: 3,
+            retransmit: 3,
+            datagram: 1_200,
+            grace_ms: 3_000,
+        }
+    }
+}
+
+impl Timing {
+    /// Whether the timings fit together.
+    pub fn check(&self) -> Result<(), String> {
+        if self.probe_ms == 0 || self.probe_ms >= self.period_ms {
+            return Err("fleet: probe_ms has to be above 0 and below period_ms".into());
+        }
+        if self.datagram < 256 || self.datagram > 65_000 {
+            return Err("fleet: datagram has to be from 256 to 65000 bytes".into());
+        }
+        if self.suspicion_periods == 0 || self.retransmit == 0 {
+            return Err("fleet: suspicion_periods and retransmit have to be above 0".into());
+        }
+        Ok(())
+    }
+
+    fn period(&self) -> Micros {
+        self.period_ms * MS
+    }
+}
+
+/// What the machine asks its actor to do, or tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send this datagram.
+    Send(SocketAddr, Box<Message>),
+    /// A member is now taken to be this.
+    Changed(String, Health),
+}
+
+/// A member as this manager sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its latest news.
+    pub rumour: Rumour,
+    /// Since when it is as it is.
+    pub since: Micros,
+}
+
+/// A ping that waits for its ack.
+struct Probe {
+    target: String,
+    sent: Micros,
+    /// Who asked for it: their address and number, when it is done for another.
+    for_whom: Option<(SocketAddr, u32)>,
+    indirect_sent: bool,
+}
+
+/// The membership of one manager.
+pub struct Membership {
+    me: Rumour,
+    timing: Timing,
+    members: BTreeMap<String, Member>,
+    /// Seeds to ping while they are not known by name.
+    seeds: Vec<SocketAddr>,
+    /// What is to be passed on, and how many times more.
+    news: VecDeque<(String, u64)>,
+    probes: BTreeMap<u32, Probe>,
+    round: Vec<String>,
+    next_probe: Micros,
+    seq: u32,
+    random: Pcg32,
+    /// Datagrams that could not be used.
+    pub dropped: u64,
+}
+
+impl Membership {
+    /// One manager, its first news, and the addresses of some others. The incarnation of the first news should be
+    /// higher than that of any earlier life under the same name.
+    pub fn new(me: Rumour, timing: Timing, seeds: Vec<SocketAddr>, seed: u64, now: Micros) -> Membership {
+        let seeds = seeds.into_iter().filter(|s| *s != me.addr).collect();
+        let mut membership = Membership {
+            me,
+            timing,
+            members: BTreeMap::new(),
+            seeds,
+            news: VecDeque::new(),
+            probes: BTreeMap::new(),
+            round: Vec::new(),
+            next_probe: now,
+            seq: 0,
+            random: Pcg32::seed_from_u64(seed),
+            dropped: 0,
+        };
+        let name = membership.me.name.clone();
+        membership.spread(&name);
+        membership
+    }
+
+    /// This manager's own news.
+    pub fn me(&self) -> &Rumour {
+        &self.me
+    }
+
+    /// The others, by name.
+    pub fn members(&self) -> &BTreeMap<String, Member> {
+        &self.members
+    }
+
+    /// When [`tick`](Self::tick) has something to do next.
+    pub fn wakes(&self) -> Micros {
+        let probes = self
+            .probes
+            .values()
+            .map(|p| p.sent + if p.indirect_sent { 0 } else { self.timing.probe_ms * MS });
+        let suspects = self.members.values().filter(|m| m.rumour.health == Health::Suspect);
+        let suspects = suspects.map(|m| m.since + self.suspicion());
+        probes.chain(suspects).fold(self.next_probe, Micros::min)
+    }
+
+    /// What this manager acts on has changed: a new incarnation carries it.
+    pub fn versions(&mut self, versions: Versions) {
+        if versions != self.me.versions {
+            self.me.versions = versions;
+            self.me.incarnation += 1;
+            let name = self.me.name.clone();
+            self.spread(&name);
+        }
+    }
+
+    /// The manager goes: it tells a few others, who pass it on.
+    pub fn leave(&mut self, out: &mut Vec<Action>) {
+        let targets: Vec<SocketAddr> =
+            self.alive().map(|m| m.rumour.addr).take(self.timing.indirect.max(1)).collect();
+        for to in targets {
+            self.send(to, Kind::Leave, out);
+        }
+    }
+
+    /// Time passes: probes go out, probes time out, suspicions become deaths.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.time_out_probes(now, out);
+        let suspicion = self.suspicion();
+        let dead: Vec<String> = (self.members.iter())
+            .filter(|(_, m)| m.rumour.health == Health::Suspect && now >= m.since + suspicion)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in dead {
+            self.set_health(&name, Health::Dead, now, out);
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + self.timing.period();
+            self.probe(now, out);
+        }
+    }
+
+    /// A datagram came.
+    pub fn receive(&mut self, from: SocketAddr, message: Message, now: Micros, out: &mut Vec<Action>) {
+        if message.from.name == self.me.name {
+            // Another process under this manager's name, or an echo: not a member.
+            self.dropped += 1;
+            return;
+        }
+        let sender = message.from.name.clone();
+        let leaving = message.kind == Kind::Leave;
+        let mut news = message.from;
+        news.addr = from;
+        news.health = if leaving { Health::Left } else { Health::Alive };
+        let incarnation = news.incarnation;
+        let heard = self.hear(news, now, out);
+        let known = self.members.get(&sender).map(|m| (m.rumour.incarnation, m.rumour.health));
+        let stale =
+            known.is_some_and(|(i, h)| incarnation < i || !heard && matches!(h, Health::Dead | Health::Left));
+        if stale {
+            // A datagram of an earlier life, or of one declared dead that has not refuted yet: it counts for nothing.
+            self.dropped += 1;
+            // What it says of this manager still counts: one taken for dead on both sides must be able to refute.
+            let mine: Vec<Rumour> = message.gossip.into_iter().filter(|r| r.name == self.me.name).collect();
+            for rumour in mine {
+                self.hear(rumour, now, out);
+            }
+            if known.is_some_and(|(i, h)| incarnation == i && h == Health::Dead) {
+                // It is told, so that it can refute if it lives.
+                let dead = self.members[&sender].rumour.clone();
+                let tell = Message { from: self.me.clone(), kind: Kind::Ack(0), gossip: vec![dead] };
+                out.push(Action::Send(from, Box::new(tell)));
+            }
+            return;
+        }
+        for rumour in message.gossip {
+            self.hear(rumour, now, out);
+        }
+        match message.kind {
+            Kind::Ping(seq) => {
+                self.send(from, Kind::Ack(seq), out);
+            }
+            Kind::Ack(seq) => {
+                if let Some(probe) = self.probes.remove(&seq)
+                    && let Some((whom, their)) = probe.for_whom
+                {
+                    self.send(whom, Kind::Ack(their), out);
+                }
+            }
+            Kind::PingReq(their, target) => {
+                self.seq = self.seq.wrapping_add(1);
+                let name = self.members.iter().find(|(_, m)| m.rumour.addr == target).map(|(n, _)| n.clone());
+                let Some(name) = name else { return };
+                let probe =
+                    Probe { target: name, sent: now, for_whom: Some((from, their)), indirect_sent: true };
+                self.probes.insert(self.seq, probe);
+                self.send(target, Kind::Ping(self.seq), out);
+            }
+            Kind::Leave => {}
+        }
+    }
+
+    /// Takes news in if it is newer than what is known. Whether it was.
+    fn hear(&mut self, rumour: Rumour, now: Micros, out: &mut Vec<Action>) -> bool {
+        if rumour.name == self.me.name {
+            if rumour.health != Health::Alive && rumour.incarnation >= self.me.incarnation {
+                // Suspected or declared dead while alive: refute with a higher incarnation.
+                self.me.incarnation = rumour.incarnation + 1;
+                let name = self.me.name.clone();
+                self.spread(&name);
+            }
+            return false;
+        }
+        let newer = match self.members.get(&rumour.name) {
+            None => true,
+            Some(known) => overrides(&rumour, &known.rumour),
+        };
+        if !newer {
+            return false;
+        }
+        let name = rumour.name.clone();
+        let health = rumour.health;
+        let was = self.members.insert(name.clone(), Member { rumour, since: now });
+        self.seeds.retain(|s| Some(*s) != self.members.get(&name).map(|m| m.rumour.addr));
+        if was.as_ref().is_none_or(|w| w.rumour.health != health) {
+            out.push(Action::Changed(name.clone(), health));
+        }
+        if health != Health::Alive {
+            self.probes.retain(|_, p| p.target != name || p.for_whom.is_some());
+        }
+        self.spread(&name);
+        true
+    }
+
+    fn set_health(&mut self, name: &str, health: Health, now: Micros, out: &mut Vec<Action>) {
+        let Some(member) = self.members.get_mut(name) else { return };
+        if member.rumour.health == health {
+            return;
+        }
+        member.rumour.health = health;
+        member.since = now;
+        out.push(Action::Changed(name.to_owned(), health));
+        self.spread(name);
+    }
+
+    fn time_out_probes(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let (direct, period) = (self.timing.probe_ms * MS, self.timing.period());
+        let mut indirect = Vec::new();
+        let mut suspects = Vec::new();
+        self.probes.retain(|seq, probe| {
+            if now >= probe.sent + period {
+                // Done for another, or unanswered directly and through others: over.
+                if probe.for_whom.is_none() {
+                    suspects.push(probe.target.clone());
+                }
+                return false;
+            }
+            if probe.for_whom.is_none() && !probe.indirect_sent && now >= probe.sent + direct {
+                probe.indirect_sent = true;
+                indirect.push((*seq, probe.target.clone()));
+            }
+            true
+        });
+        for (seq, target) in indirect {
+            self.ask_others(seq, &target, out);
+        }
+        for target in suspects {
+            if self.members.get(&target).is_some_and(|m| m.rumour.health == Health::Alive) {
+                self.set_health(&target, Health::Suspect, now, out);
+            }
+        }
+    }
+
+    /// The direct ping went unanswered: `k` others are asked to ping.
+    fn ask_others(&mut self, seq: u32, target: &str, out: &mut Vec<Action>) {
+        let Some(addr) = self.members.get(target).map(|m| m.rumour.addr) else { return };
+        let mut others: Vec<SocketAddr> =
+            self.alive().filter(|m| m.rumour.name != target).map(|m| m.rumour.addr).collect();
+        for i in 0..others.len().min(self.timing.indirect) {
+            let j = i + self.random.next_u32() as usize % (others.len() - i);
+            others.swap(i, j);
+        }
+        for to in others.into_iter().take(self.timing.indirect) {
+            self.send(to, Kind::PingReq(seq, addr), out);
+        }
+    }
+
+    fn probe(&mut self, now: Micros, out: &mut Vec<Action>) {
+        // Seeds that are not known by name yet are greeted, one a period.
+        if !self.seeds.is_empty() {
+            let seed = self.seeds[self.random.next_u32() as usize % self.seeds.len()];
+            self.seq = self.seq.wrapping_add(1);
+            self.send(seed, Kind::Ping(self.seq), out);
+        }
+        // One taken for dead is greeted too: if it lives, each side learns what the other thinks of it and refutes. This
+        // heals a partition in which both sides declared the other dead.
+        let dead: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|m| m.rumour.health == Health::Dead)
+            .map(|m| m.rumour.addr)
+            .collect();
+        if !dead.is_empty() {
+            let to = dead[self.random.next_u32() as usize % dead.len()];
+            self.seq = self.seq.wrapping_add(1);
+            self.send(to, Kind::Ping(self.seq), out);
+        }
+        let target = loop {
+            let Some(name) = self.round.pop() else {
+                let mut round: Vec<String> = (self.members.iter())
+                    .filter(|(_, m)| matches!(m.rumour.health, Health::Alive | Health::Suspect))
+                    .map(|(n, _)| n.clone())
+                    .collect();
+                if round.is_empty() {
+                    return;
+                }
+                for i in (1..round.len()).rev() {
+                    round.swap(i, self.random.next_u32() as usize % (i + 1));
+                }
+                self.round = round;
+                continue;
+            };
+            if let Some(member) = self.members.get(&name)
+                && matches!(member.rumour.health, Health::Alive | Health::Suspect)
+            {
+                break (name, member.rumour.addr);
+            }
+        };
+        self.seq = self.seq.wrapping_add(1);
+        let probe = Probe { target: target.0, sent: now, for_whom: None, indirect_sent: false };
+        self.probes.insert(self.seq, probe);
+        self.send(target.1, Kind::Ping(self.seq), out);
+    }
+
+    fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|m| m.rumour.health == Health::Alive)
+    }
+
+    /// log2 of the members, at least 1: how the suspicion's time and the passing on grow with the fleet.
+    fn scale(&self) -> u64 {
+        u64::from((self.members.len() as u64 + 2).ilog2()).max(1)
+    }
+
+    fn suspicion(&self) -> Micros {
+        self.timing.suspicion_periods * self.scale() * self.timing.period()
+    }
+
+    fn spread(&mut self, name: &str) {
+        self.news.retain(|(n, _)| n != name);
+        self.news.push_front((name.to_owned(), self.timing.retransmit * self.scale()));
+    }
+
+    /// Sends a datagram. One taken for suspect or dead is told so first, so that it can refute at once if it lives.
+    fn send(&mut self, to: SocketAddr, kind: Kind, out: &mut Vec<Action>) {
+        let told = self.members.values().find(|m| m.rumour.addr == to && m.rumour.health != Health::Alive);
+        let told = told.map(|m| m.rumour.clone());
+        let message = self.message(kind, told);
+        out.push(Action::Send(to, Box::new(message)));
+    }
+
+    /// A datagram with as much news as fits, the least passed on first.
+    fn message(&mut self, kind: Kind, first: Option<Rumour>) -> Message {
+        let mut message = Message { from: self.me.clone(), kind, gossip: first.into_iter().collect() };
+        let mut room = self.timing.datagram.saturating_sub(wire::size(&message));
+        let mut kept = VecDeque::with_capacity(self.news.len());
+        while let Some((name, left)) = self.news.pop_front() {
+            let rumour = if name == self.me.name {
+                Some(&self.me)
+            } else {
+                self.members.get(&name).map(|m| &m.rumour)
+            };
+            let Some(rumour) = rumour else { continue };
+            let size = wire::rumour_size(rumour);
+            if size <= room && left > 0 {
+                room -= size;
+                message.gossip.push(rumour.clone());
+                if left > 1 {
+                    kept.push_back((name, left - 1));
+                }
+            } else {
+                kept.push_front((name, left));
+            }
+        }
+        // What was passed on goes behind what was not.
+        self.news = kept;
+        message
+    }
+}
+
+/// Whether `new` is news over `old`, by the precedence of SWIM: a higher incarnation wins; at the same one, suspicion
+/// over life, and death or leaving over both. A new life, with a higher incarnation, comes back from death.
+pub fn overrides(new: &Rumour, old: &Rumour) -> bool {
+    use Health::*;
+    match (new.health, old.health) {
+        (Alive, _) => new.incarnation > old.incarnation,
+        (Suspect, Alive) => new.incarnation >= old.incarnation,
+        (Suspect, _) => new.incarnation > old.incarnation,
+        (Dead | Left, Dead | Left) => new.incarnation > old.incarnation,
+        (Dead | Left, _) => new.incarnation >= old.incarnation,
+    }
+}
+
+/// Where a manager stands against the fleet's majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It acts on what the majority acts on, or no majority is ahead of it.
+    InStep,
+    /// It has been behind for less than the grace.
+    Behind,
+    /// Behind for longer than the grace: it should read its settings and list again.
+    BringUp,
+    /// Behind for longer than twice the grace: it should take no work.
+    ShutOut,
+}
+
+/// Whether this manager is behind: a generation or list version held by more than half of all members that are not
+/// gone, counting those taken for dead, is ahead of its own. A minority never makes a straggler, however it sees the
+/// rest. `behind_since` is when it was first seen behind, kept by the caller.
+pub fn straggling(
+    me: &Versions,
+    others: &[&Versions],
+    behind_since: Option<Micros>,
+    grace: Micros,
+    now: Micros,
+) -> Standing {
+    let all = others.len() + 1;
+    let ahead =
+        |key: fn(&Versions) -> (u64, u64)| others.iter().filter(|v| key(v) > key(me)).count() * 2 > all;
+    let behind = ahead(|v| (v.generation, 0)) || ahead(|v| (v.list, 0));
+    match (behind, behind_since) {
+        (false, _) => Standing::InStep,
+        (true, None) => Standing::Behind,
+        (true, Some(since)) if now >= since + 2 * grace => Standing::ShutOut,
+        (true, Some(since)) if now >= since + grace => Standing::BringUp,
+        (true, Some(_)) => Standing::Behind,
+    }
+}
+
+/// The bytes a second that one manager's membership traffic may take at the most while nothing fails: a ping and an
+/// ack that it sends a period, and the acks of the pings it is sent, which are as many on the mean; each one datagram.
+pub fn budget(timing: &Timing) -> u64 {
+    3 * timing.datagram as u64 * SEC / timing.period()
+}
+
+/// Within this time of a member's stop, every other member that hears the rest has declared it dead, on the mean: a
+/// round of probes among so many members, the suspicion's time, and a period for the news to pass.
+pub fn detection_bound(timing: &Timing, members: usize) -> Micros {
+    let scale = u64::from((members as u64 + 1).ilog2()).max(1);
+    let suspicion = timing.suspicion_periods * scale * timing.period();
+    suspicion + 3 * timing.period()
+}
+
+#[cfg(test)]
+#[path = "../../tests/inside/membership.rs"]
+mod tests;
--- /dev/null
+++ b/src/membership/wire.rs
@@ -0,0 +1,47 @@
+//! The datagrams between managers, in postcard behind a tag of the format. What can't be read is dropped and counted
+//! by the caller; nothing here panics on what comes in.
+use super::{Message, Rumour};
+
+/// The first bytes of each datagram: the protocol and the version of its format. Another build's format is dropped.
+pub const TAG: [u8; 4] = *b"YLM1";
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// Not of this protocol, or of another version of its format.
+    Foreign,
+    /// Of this format, but cut short or spoilt.
+    Spoilt,
+    /// Larger than any datagram this build sends.
+    Oversized,
+}
+
+/// The datagram of a message.
+pub fn encode(message: &Message) -> Vec<u8> {
+    let mut out = TAG.to_vec();
+    // A message of the types above always serializes.
+    out.extend(postcard::to_allocvec(message).unwrap_or_default());
+    out
+}
+
+/// The message of a datagram no longer than `most`.
+pub fn decode(datagram: &[u8], most: usize) -> Result<Message, Unread> {
+    if datagram.len() > most {
+        return Err(Unread::Oversized);
+    }
+    let body = datagram.strip_prefix(&TAG).ok_or(Unread::Foreign)?;
+    match postcard::take_from_bytes::<Message>(body) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(Unread::Spoilt),
+    }
+}
+
+/// The bytes a message takes on the wire.
+pub fn size(message: &Message) -> usize {
+    TAG.len() + postcard::to_allocvec(message).map_or(usize::MAX / 2, |v| v.len())
+}
+
+/// The bytes one piece of news takes within a message.
+pub fn rumour_size(rumour: &Rumour) -> usize {
+    postcard::to_allocvec(rumour).map_or(usize::MAX / 2, |v| v.len())
+}
