Run fleet membership in the daemon behind its own file, with GET /fleet

A manager behind the majority for the grace reads its configuration again (SIGHUP to itself); for twice the grace it is shut out and not ready, and back once in step. The kit has a fault relay for datagrams (loss, doubles, jitter, one-way cuts, partitions). Off unless PROXY_FLEET names a file such as deploy/fleet.toml; run is unchanged.

Ruled out: hashing the whole configuration for the settings (names and addresses differ on every manager, so no majority ever formed); only the settings object is hashed. Audit records are not built yet.

--- a/src/front/console.rs
+++ b/src/front/console.rs
@@ -17,6 +17,8 @@
     Drain,
     /// `POST /undrain`
     Undrain,
+    /// `GET /fleet`: the members of the fleet as this manager sees them, one JSON object a line.
+    Fleet,
 }
 
 /// Why a call can't be answered.
@@ -34,11 +36,12 @@
     Method(&'static str),
 }
 
-const CALLS: [(&str, &str, Call); 4] = [
+const CALLS: [(&str, &str, Call); 5] = [
     ("GET", "/ready", Call::Ready),
     ("GET", "/metrics", Call::Metrics),
     ("POST", "/drain", Call::Drain),
     ("POST", "/undrain", Call::Undrain),
+    ("GET", "/fleet", Call::Fleet),
 ];
 
 /// Reads a call, if its head is there whole. A body means nothing.
--- a/src/kit/mod.rs
+++ b/src/kit/mod.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod directory;
 pub mod engines;
+pub mod relay;
 pub mod script;
 
 use crate::clock::{self, Micros};
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -73,12 +73,22 @@
     next: Next,
     /// What is left of the work that was open when it was asked to end, as a part of it.
     left: f64,
+    /// Behind the fleet's majority for too long: it says it is not ready.
+    shut_out: bool,
 }
 
 impl Default for Lifecycle {
     fn default() -> Lifecycle {
         let (drained_at, stopping_at) = (None, None);
-        Lifecycle { listed: false, drained_at, stopping_at, older: 0.0, next: Next::None, left: 1.0 }
+        Lifecycle {
+            listed: false,
+            drained_at,
+            stopping_at,
+            older: 0.0,
+            next: Next::None,
+            left: 1.0,
+            shut_out: false,
+        }
     }
 }
 
@@ -135,7 +145,18 @@
 
     /// Whether it says that it takes clients.
     pub fn ready(&self) -> bool {
-        matches!(self.stage(), Stage::Ready | Stage::HandingOver)
+        matches!(self.stage(), Stage::Ready | Stage::HandingOver) && !self.shut_out
+    }
+
+    /// The fleet's majority acts on newer settings or a newer list than this manager: it is shut out until it catches
+    /// up, or back in.
+    pub fn shut_out(&mut self, out: bool) {
+        self.shut_out = out;
+    }
+
+    /// Whether it is shut out.
+    pub fn is_shut_out(&self) -> bool {
+        self.shut_out
     }
 
     /// Whether it can serve, also if operators send its clients away.
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
 use yokelift::front::jsonrpc::JsonRpc;
 use yokelift::interface::Readiness;
 use yokelift::manager::Manager;
+use yokelift::membership::file::Fleet;
 use yokelift::net::coordinator::Move;
 use yokelift::net::core::Input;
 use yokelift::net::list::Http;
@@ -76,10 +77,17 @@
 struct Files {
     config: PathBuf,
     deploy: Option<PathBuf>,
+    /// The fleet's membership, with `PROXY_FLEET`.
+    fleet: Option<Fleet>,
 }
 
 fn serve(config: Config, deploy: Option<Deploy>, files: Files) -> Result<(), String> {
     let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
+    shared.generation.set((1, net::membership::settings_hash(&config.text)));
+    if let Some(fleet) = files.fleet.as_ref() {
+        let socket = net::membership::bind(fleet.bind(config.listen))?;
+        shared.spawn(net::membership::run(shared.clone(), socket, config.name.clone(), fleet.clone()));
+    }
     // With an address for operators there may be a process that this one follows, or one that will follow it.
     let place = config.console.and_then(|_| handover::place(&config.name));
     let mut taken = place.as_deref().and_then(|place| block_on(handover::ask(place, &config.name)));
@@ -225,6 +233,9 @@
                 Signal::Usr1 => Input::Report,
                 Signal::Hup => match reload.again().await {
                     Ok(()) => {
+                        let (number, _) = flags.generation.get();
+                        let hash = net::membership::settings_hash(&reload.text.borrow());
+                        flags.generation.set((number + 1, hash));
                         log!("read the configuration again");
                         Input::Reloaded(true)
                     }
@@ -256,7 +267,12 @@
     if files.next().is_some() {
         return Err("use: yokelift [DEPLOY-FILE]".into());
     }
-    let files = Files { config: PathBuf::from(path), deploy: second };
+    let fleet = std::env::var_os("PROXY_FLEET").filter(|f| !f.is_empty()).map(PathBuf::from);
+    let fleet = fleet.map(|path| {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Fleet::parse(&text)
+    });
+    let files = Files { config: PathBuf::from(path), deploy: second, fleet: fleet.transpose()? };
     let mut config = config::read(&files.config)?;
     if let Some(at) = std::env::var_os("PROXY_CONSOLE").filter(|at| !at.is_empty()) {
         let at = at.to_str().and_then(|at| at.parse().ok());
--- /dev/null
+++ b/src/membership/file.rs
@@ -0,0 +1,47 @@
+//! The operator's file of the fleet's membership: where this manager takes datagrams, whom it greets first, and the
+//! protocol's timings. TOML; unknown keys are refused.
+use super::Timing;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// What the file says.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The UDP address of this manager; without it, the address of the clients' listener at `port`.
+    pub bind: Option<SocketAddr>,
+    /// The address others are to send to, where it is not `bind`: one of a relay between managers.
+    pub advertise: Option<SocketAddr>,
+    /// The port of that address.
+    #[serde(default = "port")]
+    pub port: u16,
+    /// Some members' addresses, this one's among them or not.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The protocol's timings.
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+fn port() -> u16 {
+    7946
+}
+
+impl Fleet {
+    /// Reads the file's text.
+    pub fn parse(text: &str) -> Result<Fleet, String> {
+        let fleet: Fleet = toml::from_str(text).map_err(|e| format!("fleet: {}", e.message()))?;
+        fleet.timing.check()?;
+        if [fleet.bind, fleet.advertise].iter().flatten().any(|b| !b.is_ipv4())
+            || fleet.seeds.iter().any(|s| !s.is_ipv4())
+        {
+            return Err("fleet: addresses have to be IPv4".into());
+        }
+        Ok(fleet)
+    }
+
+    /// Where this manager takes datagrams, beside clients at `listen`.
+    pub fn bind(&self, listen: SocketAddr) -> SocketAddr {
+        self.bind.unwrap_or(SocketAddr::new(listen.ip(), self.port))
+    }
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! Every member also carries its [`Versions`]: the build, the settings generation and the list version it acts on.
 //! From these, [`straggling`] tells a manager whether the fleet's majority has moved on without it.
+pub mod file;
 pub mod wire;
 
 use crate::clock::{MS, Micros, SEC};
@@ -525,7 +526,7 @@
 }
 
 /// Where a manager stands against the fleet's majority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Standing {
     /// It acts on what the majority acts on, or no majority is ahead of it.
     InStep,
@@ -537,26 +538,49 @@
     ShutOut,
 }
 
-/// Whether this manager is behind: a generation or list version held by more than half of all members that are not
-/// gone, counting those taken for dead, is ahead of its own. A minority never makes a straggler, however it sees the
-/// rest. `behind_since` is when it was first seen behind, kept by the caller.
-pub fn straggling(
-    me: &Versions,
-    others: &[&Versions],
-    behind_since: Option<Micros>,
-    grace: Micros,
-    now: Micros,
-) -> Standing {
-    let all = others.len() + 1;
-    let ahead =
-        |key: fn(&Versions) -> (u64, u64)| others.iter().filter(|v| key(v) > key(me)).count() * 2 > all;
-    let behind = ahead(|v| (v.generation, 0)) || ahead(|v| (v.list, 0));
-    match (behind, behind_since) {
-        (false, _) => Standing::InStep,
-        (true, None) => Standing::Behind,
-        (true, Some(since)) if now >= since + 2 * grace => Standing::ShutOut,
-        (true, Some(since)) if now >= since + grace => Standing::BringUp,
-        (true, Some(_)) => Standing::Behind,
+/// What the majority of all members not gone holds, counting those taken for dead: settings by their hash (the
+/// numbers of generations are each process's own), and the newest list version that more than half have reached.
+pub fn majority(all: &[&Versions]) -> (Option<u64>, u64) {
+    let half = all.len() / 2;
+    let mut hashes: BTreeMap<u64, usize> = BTreeMap::new();
+    all.iter().for_each(|v| *hashes.entry(v.settings).or_default() += 1);
+    let settings = hashes.into_iter().find(|(_, n)| *n > half).map(|(hash, _)| hash);
+    let mut lists: Vec<u64> = all.iter().map(|v| v.list).collect();
+    lists.sort_unstable_by(|a, b| b.cmp(a));
+    (settings, lists.get(half).copied().unwrap_or(0))
+}
+
+/// Whether one manager keeps behind the majority: it has to have held other settings, or a list older than one the
+/// majority had reached, for the whole grace. A list that keeps moving is no lag while the manager keeps up with it.
+#[derive(Clone, Debug, Default)]
+pub struct Straggler {
+    /// Since when its settings differ from the majority's.
+    settings_since: Option<Micros>,
+    /// A list version the majority had, and since when.
+    list_behind: Option<(u64, Micros)>,
+}
+
+impl Straggler {
+    /// Judges this manager's versions against all others not gone.
+    pub fn judge(&mut self, me: &Versions, others: &[&Versions], grace: Micros, now: Micros) -> Standing {
+        let mut all = others.to_vec();
+        all.push(me);
+        let (settings, list) = majority(&all);
+        let differs = settings.is_some_and(|s| s != me.settings);
+        self.settings_since = if differs { self.settings_since.or(Some(now)) } else { None };
+        self.list_behind = match self.list_behind {
+            Some((target, since)) if me.list < target => Some((target, since)),
+            _ if me.list < list => Some((list, now)),
+            _ => None,
+        };
+        let since =
+            [self.settings_since, self.list_behind.map(|(_, since)| since)].into_iter().flatten().min();
+        match since {
+            None => Standing::InStep,
+            Some(since) if now >= since + 2 * grace => Standing::ShutOut,
+            Some(since) if now >= since + grace => Standing::BringUp,
+            Some(_) => Standing::Behind,
+        }
     }
 }
 
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -120,5 +120,9 @@
                 console::answer(409, None, "the program is about to end\n")
             }
         }
+        Call::Fleet => match shared.fleet.borrow().as_ref() {
+            Some(view) => console::answer(200, None, &view.lines()),
+            None => console::answer(404, None, "no fleet membership: started without a fleet file\n"),
+        },
     }
 }
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -88,6 +88,7 @@
     let mut first = true;
     while let Ok(mut update) = mailbox.recv().await {
         let mut made = Vec::new();
+        shared.list_version.set(shared.list_version.get().max(update.index));
         supersede(&known, &mut update);
         if update.whole {
             // A whole list of the coordinator does not name the engines of the file.
--- /dev/null
+++ b/src/net/membership.rs
@@ -0,0 +1,186 @@
+//! The actor of the fleet's membership: one UDP socket between managers, the pure machine of `crate::membership`, and
+//! what it puts down for the second address. Started only with the operator's fleet file.
+use super::{Shared, until};
+use crate::clock::{self, MS, Micros};
+use crate::lifecycle::Stage;
+use crate::log;
+use crate::membership::file::Fleet;
+use crate::membership::wire::{self, Unread};
+use crate::membership::{Action, Health, Membership, Rumour, Standing, Straggler, Versions};
+use async_io::Async;
+use futures_lite::future::or;
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+/// The view is put down anew at most this often, and at each change of a member.
+const VIEW_EVERY: Micros = 100 * MS;
+
+/// The build this program was made from: its version, and the id given to the build if one was.
+pub fn build() -> String {
+    let id = option_env!("YOKELIFT_BUILD_ID").unwrap_or("local");
+    format!("{}+{id}", env!("CARGO_PKG_VERSION"))
+}
+
+/// A hash of the settings of a configuration, the same for equal settings on every manager: the name and addresses of
+/// each manager are not part of it.
+pub fn settings_hash(config: &serde_json::Value) -> u64 {
+    let digest = Sha256::digest(config.get("settings").unwrap_or(config).to_string().as_bytes());
+    u64::from_be_bytes(digest[..8].try_into().unwrap_or_default())
+}
+
+/// One row of `GET /fleet`.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Whether this is the manager that answers.
+    #[serde(rename = "self")]
+    pub me: bool,
+    /// The member's news.
+    #[serde(flatten)]
+    pub rumour: Rumour,
+    /// Milliseconds since it is as it is.
+    pub since_ms: u64,
+}
+
+/// What the membership put down last.
+#[derive(Clone, Debug, Serialize)]
+pub struct View {
+    /// This manager first, then the others by name.
+    pub members: Vec<Row>,
+    /// Where this manager stands against the majority.
+    pub standing: Standing,
+    /// Datagrams that could not be used.
+    pub dropped: u64,
+}
+
+impl View {
+    /// JSON lines: one member a line.
+    pub fn lines(&self) -> String {
+        let mut text = String::new();
+        for row in &self.members {
+            text.push_str(&serde_json::to_string(row).unwrap_or_default());
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// What this manager acts on now.
+fn versions(shared: &Shared) -> Versions {
+    let (generation, settings) = shared.generation.get();
+    let life = shared.life.borrow();
+    let stage =
+        if life.is_shut_out() { "shut-out".to_owned() } else { format!("{:?}", life.stage()).to_lowercase() };
+    Versions { build: build(), generation, settings, list: shared.list_version.get(), stage }
+}
+
+/// Binds the socket: a start with a taken address ends with one line.
+pub fn bind(at: SocketAddr) -> Result<Async<UdpSocket>, String> {
+    let socket = UdpSocket::bind(at).and_then(Async::new);
+    socket.map_err(|e| format!("fleet: can't take datagrams at {at}: {e}"))
+}
+
+/// Runs the membership until the program is asked to end; then it says that it goes.
+pub async fn run(shared: Rc<Shared>, socket: Async<UdpSocket>, name: String, fleet: Fleet) {
+    let now = clock::turn();
+    let bound = socket.get_ref().local_addr().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let (addr, seeds, timing) = (fleet.advertise.unwrap_or(bound), fleet.seeds, fleet.timing);
+    // A new life outranks every earlier one under the same name: its first incarnation is the time of its start.
+    let me = Rumour { name, addr, incarnation: now, health: Health::Alive, versions: versions(&shared) };
+    let (grace, most) = (timing.grace_ms * MS, timing.datagram);
+    let mut machine = Membership::new(me, timing, seeds, now, now);
+    let mut straggler = Straggler::default();
+    let (mut buffer, mut shown_at, mut brought_up) = (vec![0; most + 1], 0, false);
+    loop {
+        let wakes = machine.wakes();
+        let received = or(async { Some(socket.recv_from(&mut buffer).await) }, async {
+            until(Some(wakes)).await;
+            None
+        });
+        let received = received.await;
+        let now = clock::turn();
+        let mut out = Vec::new();
+        machine.versions(versions(&shared));
+        if let Some(Ok((n, from))) = received {
+            match wire::decode(&buffer[..n], most) {
+                Ok(message) => machine.receive(from, message, now, &mut out),
+                Err(why) => {
+                    machine.dropped += 1;
+                    let why = match why {
+                        Unread::Foreign => "of another format",
+                        Unread::Spoilt => "spoilt",
+                        Unread::Oversized => "too large",
+                    };
+                    log!("fleet: a datagram from {from} dropped: {why}");
+                }
+            }
+        }
+        machine.tick(now, &mut out);
+        let mut changed = false;
+        for action in out {
+            match action {
+                Action::Send(to, message) => {
+                    // A full socket buffer loses the datagram, as the network may: the protocol bears it.
+                    let _ = socket.get_ref().send_to(&wire::encode(&message), to);
+                }
+                Action::Changed(name, health) => {
+                    changed = true;
+                    log!("fleet: {name} is {health:?}");
+                }
+            }
+        }
+        let others: Vec<&Versions> = (machine.members().values())
+            .filter(|m| m.rumour.health != Health::Left)
+            .map(|m| &m.rumour.versions)
+            .collect();
+        let standing = straggler.judge(&machine.me().versions, &others, grace, now);
+        stand(&shared, standing, &mut brought_up);
+        if changed || now >= shown_at + VIEW_EVERY {
+            shown_at = now;
+            *shared.fleet.borrow_mut() = Some(Rc::new(view(&machine, standing, now)));
+        }
+        if shared.life.borrow().stage() == Stage::Stopping {
+            let mut out = Vec::new();
+            machine.leave(&mut out);
+            for action in out {
+                if let Action::Send(to, message) = action {
+                    let _ = socket.get_ref().send_to(&wire::encode(&message), to);
+                }
+            }
+            return;
+        }
+    }
+}
+
+/// Acts on where the manager stands: once behind for the grace it reads its settings again, as at SIGHUP; behind for
+/// twice that it is shut out; in step it is back.
+fn stand(shared: &Shared, standing: Standing, brought_up: &mut bool) {
+    let out = standing == Standing::ShutOut;
+    if shared.life.borrow().is_shut_out() != out {
+        shared.life.borrow_mut().shut_out(out);
+        log!(
+            "fleet: {}",
+            if out { "behind the majority: shut out" } else { "in step with the majority again" }
+        );
+    }
+    match standing {
+        Standing::BringUp if !*brought_up => {
+            *brought_up = true;
+            log!("fleet: behind the majority: reading the configuration again");
+            let _ = rustix::process::kill_process(rustix::process::getpid(), rustix::process::Signal::HUP);
+        }
+        Standing::InStep => *brought_up = false,
+        _ => {}
+    }
+}
+
+fn view(machine: &Membership, standing: Standing, now: Micros) -> View {
+    let me = Row { me: true, rumour: machine.me().clone(), since_ms: 0 };
+    let others = machine.members().values().map(|m| Row {
+        me: false,
+        rumour: m.rumour.clone(),
+        since_ms: now.saturating_sub(m.since) / MS,
+    });
+    View { members: std::iter::once(me).chain(others).collect(), standing, dropped: machine.dropped }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod handover;
 pub mod list;
+pub mod membership;
 pub mod reload;
 
 use crate::clock::{self, Micros};
@@ -70,6 +71,12 @@
     pub next_conn: Cell<u64>,
     /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
     pub databases: Cell<bool>,
+    /// The settings generation in force: its number and a hash of its text.
+    pub generation: Cell<(u64, u64)>,
+    /// The number of the last event of the endpoint list taken.
+    pub list_version: Cell<u64>,
+    /// What the fleet's membership put down last, for the second address.
+    pub fleet: RefCell<Option<Rc<membership::View>>>,
 }
 
 impl Shared {
@@ -98,6 +105,9 @@
             buffer: RefCell::new(vec![0; BUFFER]),
             next_conn: Cell::new(1),
             databases: Cell::new(false),
+            generation: Cell::new((1, 0)),
+            list_version: Cell::new(0),
+            fleet: RefCell::default(),
         });
         shared.limit(sockets, memory_mb);
         shared
--- a/tests/inside/membership.rs
+++ b/tests/inside/membership.rs
@@ -262,21 +262,31 @@
 }
 
 /// Guards the straggler's rule: behind a majority it is brought up after the grace and shut out after twice that; a
-/// minority ahead, or a majority made of one side only of what is known, never shuts it out.
+/// minority ahead, or half, never shuts it out; a list that moves on while it keeps up is no lag.
 #[test]
 fn a_straggler_is_judged_by_the_majority_of_all_members() {
-    let at = |generation| Versions { generation, list: 3, ..Versions::default() };
-    let (me, new, grace) = (at(1), at(2), 3 * SEC);
+    let at = |settings, list| Versions { settings, list, ..Versions::default() };
+    let (me, new, grace) = (at(1, 3), at(2, 3), 3 * SEC);
+    let judge = |me: &Versions, others: &[&Versions], now| {
+        let mut straggler = Straggler::default();
+        straggler.judge(me, others, grace, 0);
+        straggler.judge(me, others, grace, now)
+    };
     let majority = [&new, &new, &new, &me];
-    assert_eq!(straggling(&me, &majority, None, grace, 0), Standing::Behind);
-    assert_eq!(straggling(&me, &majority, Some(0), grace, grace), Standing::BringUp);
-    assert_eq!(straggling(&me, &majority, Some(0), grace, 2 * grace), Standing::ShutOut);
-    let minority = [&new, &new, &me, &me, &me];
-    assert_eq!(straggling(&me, &minority, Some(0), grace, 10 * grace), Standing::InStep);
+    assert_eq!(judge(&me, &majority, 0), Standing::Behind);
+    assert_eq!(judge(&me, &majority, grace), Standing::BringUp);
+    assert_eq!(judge(&me, &majority, 2 * grace), Standing::ShutOut);
+    assert_eq!(judge(&me, &[&new, &new, &me, &me, &me], 10 * grace), Standing::InStep);
     // Half is no majority.
-    assert_eq!(straggling(&me, &[&new, &new, &me], Some(0), grace, 10 * grace), Standing::InStep);
-    let ahead = at(3);
-    assert_eq!(straggling(&ahead, &majority, Some(0), grace, 10 * grace), Standing::InStep);
+    assert_eq!(judge(&me, &[&new, &new, &me], 10 * grace), Standing::InStep);
+    // The list: the majority at 9, this one at 3, until it takes 9; then the majority moves on to 10 and it follows.
+    let mut straggler = Straggler::default();
+    let ahead = at(1, 9);
+    assert_eq!(straggler.judge(&me, &[&ahead, &ahead, &ahead, &me], grace, 0), Standing::Behind);
+    assert_eq!(straggler.judge(&me, &[&ahead, &ahead, &ahead, &me], grace, grace), Standing::BringUp);
+    let (caught, moved) = (at(1, 9), at(1, 10));
+    assert_eq!(straggler.judge(&caught, &[&moved, &moved], grace, 2 * grace), Standing::Behind);
+    assert_eq!(straggler.judge(&moved, &[&moved, &moved], grace, 3 * grace), Standing::InStep);
 }
 
 proptest! {
