Start a fleet member of the tests anew where its port was taken by another test

Observed: tests/membership.rs failed about one run in ten with four binaries at once, and once alone. In the failure captured, member 3 of the straggler test gave no view at GET /fleet and no other member knew it, while its readiness had been answered at its console's port: the ports are handed out free and bound later, so another daemon had taken that port and member 3 ended at its start.

Change: the kit's relay can be told a member's new real socket; the test waits for each member's readiness, checks that the process still runs, and starts one that ended anew on fresh ports, three times at most. A failure now prints every member's view and log.

Ruled out: the protocol, as the four members that started agreed in every view.

--- a/src/kit/relay.rs
+++ b/src/kit/relay.rs
@@ -42,6 +42,8 @@
 
 struct State {
     faults: Faults,
+    /// The members' real sockets.
+    backs: Vec<SocketAddr>,
     random: Pcg32,
     /// Datagrams that wait.
     held: BinaryHeap<Reverse<Held>>,
@@ -72,6 +74,7 @@
         let fronts = sockets.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?;
         let state = State {
             faults: Faults::default(),
+            backs,
             random: Pcg32::seed_from_u64(seed),
             held: BinaryHeap::new(),
             next: 0,
@@ -80,7 +83,7 @@
         };
         let (state, stop) = (Arc::new(Mutex::new(state)), Arc::new(AtomicBool::new(false)));
         let (shared, stopped) = (state.clone(), stop.clone());
-        let thread = std::thread::spawn(move || pass(sockets, backs, shared, stopped));
+        let thread = std::thread::spawn(move || pass(sockets, shared, stopped));
         Ok(Relay { fronts, state, stop, thread: Some(thread) })
     }
 
@@ -89,6 +92,11 @@
         self.state.lock().expect("the relay's state").faults = faults;
     }
 
+    /// A member's real socket is now at another address: one that was started anew where its port was taken.
+    pub fn rebind(&self, member: usize, back: SocketAddr) {
+        self.state.lock().expect("the relay's state").backs[member] = back;
+    }
+
     /// Datagrams passed on and lost so far.
     pub fn counts(&self) -> (u64, u64) {
         let state = self.state.lock().expect("the relay's state");
@@ -105,7 +113,7 @@
     }
 }
 
-fn pass(sockets: Vec<UdpSocket>, backs: Vec<SocketAddr>, state: Arc<Mutex<State>>, stop: Arc<AtomicBool>) {
+fn pass(sockets: Vec<UdpSocket>, state: Arc<Mutex<State>>, stop: Arc<AtomicBool>) {
     let mut buffer = [0; 65_536];
     while !stop.load(Ordering::Relaxed) {
         let mut idle = true;
@@ -113,8 +121,8 @@
             // What comes at a member's front is for that member; who sent it is told by its real address.
             while let Ok((n, source)) = socket.recv_from(&mut buffer) {
                 idle = false;
-                let Some(from) = backs.iter().position(|b| *b == source) else { continue };
                 let mut state = state.lock().expect("the relay's state");
+                let Some(from) = state.backs.iter().position(|b| *b == source) else { continue };
                 let faults = state.faults.clone();
                 let chance =
                     |state: &mut State, p: f64| (state.random.next_u32() as f64) < p * u32::MAX as f64;
@@ -137,7 +145,7 @@
         while state.held.peek().is_some_and(|Reverse(h)| h.0 <= now) {
             let Some(Reverse((_, _, from, to, bytes))) = state.held.pop() else { break };
             // From the sender's front, so that the receiver answers through the relay too.
-            let _ = sockets[from].send_to(&bytes, backs[to]);
+            let _ = sockets[from].send_to(&bytes, state.backs[to]);
             state.passed += 1;
         }
         drop(state);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -52,9 +52,41 @@
         for i in 0..MEMBERS {
             fleet.launch(i, (0.62, 0.38));
         }
+        // A port handed out free may have been taken by another test meanwhile: that member starts anew elsewhere.
+        for _ in 0..3 {
+            let ended: Vec<usize> = (0..MEMBERS).filter(|i| fleet.ended_at_start(*i)).collect();
+            if ended.is_empty() {
+                break;
+            }
+            for i in ended {
+                (fleet.backs[i], fleet.consoles[i]) = (free_udp(), free_addr());
+                fleet.relay.rebind(i, fleet.backs[i]);
+                fleet.launch(i, (0.62, 0.38));
+            }
+        }
         fleet
     }
 
+    /// Waits until member `i` is ready; whether it ended instead.
+    fn ended_at_start(&mut self, i: usize) -> bool {
+        let end = Instant::now() + Duration::from_secs(30);
+        while Instant::now() < end {
+            if self.ready(i) == Some(200) {
+                // Another process may answer at a port taken twice: one that could not listen ends at once.
+                std::thread::sleep(Duration::from_millis(300));
+                let child = self.children[i].as_mut().expect("launched");
+                return child.try_wait().ok().flatten().is_some();
+            }
+            let child = self.children[i].as_mut().expect("launched");
+            if child.try_wait().ok().flatten().is_some() {
+                eprintln!("member {i} ended at its start: {}", self.log(i));
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
     fn name(&self, i: usize) -> String {
         format!("{}{i}", self.tag)
     }
@@ -135,6 +167,12 @@
         who.iter().all(|a| who.iter().all(|b| a == b || self.health(*a, *b).as_deref() == Some("Alive")))
     }
 
+    /// All members' logs and views, for a failure's message.
+    fn logs(&self) -> String {
+        let each = (0..MEMBERS).map(|i| format!("member {i}: {:?}\n{}", self.view(i), self.log(i)));
+        each.collect::<Vec<_>>().join("\n")
+    }
+
     fn log(&self, i: usize) -> String {
         std::fs::read_to_string(self.folder.path(&format!("{}.log", self.name(i)))).unwrap_or_default()
     }
@@ -201,7 +239,7 @@
 #[test]
 fn a_stopped_daemon_is_found_dead_and_refutes_when_it_goes_on() {
     let fleet = Fleet::start("stop", 2);
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     fleet.signal(2, rustix::process::Signal::STOP);
     let others = [0, 1, 3, 4];
     assert!(eventually(|| others.iter().all(|i| fleet.health(*i, 2).as_deref() == Some("Dead"))));
@@ -215,7 +253,7 @@
 #[test]
 fn a_killed_daemon_started_again_is_a_new_life() {
     let mut fleet = Fleet::start("kill", 3);
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     let incarnation = |fleet: &Fleet| {
         let view = fleet.view(0)?;
         view.into_iter().find(|r| r["name"] == json!(fleet.name(3))).and_then(|r| r["incarnation"].as_u64())
@@ -224,7 +262,7 @@
     fleet.kill(3);
     assert!(eventually(|| fleet.health(0, 3).as_deref() == Some("Dead")));
     fleet.launch(3, (0.62, 0.38));
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     assert!(incarnation(&fleet).expect("known") > first);
 }
 
@@ -233,7 +271,7 @@
 #[test]
 fn loss_doubles_and_a_one_way_cut_kill_nobody() {
     let fleet = Fleet::start("loss", 4);
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     let mut faults =
         Faults { loss: 0.2, doubled: 0.05, jitter: Duration::from_millis(20), ..Faults::default() };
     faults.cut.insert((1, 0));
@@ -251,7 +289,7 @@
 #[test]
 fn a_partition_heals_into_one_fleet() {
     let fleet = Fleet::start("part", 5);
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     let mut faults = Faults::default();
     faults.partition(&[0, 1, 2], &[3, 4]);
     fleet.relay.set(faults);
@@ -267,7 +305,7 @@
 #[test]
 fn stragglers_are_brought_up_or_shut_out() {
     let fleet = Fleet::start("lag", 6);
-    assert!(eventually(|| fleet.agree(&ALL)));
+    assert!(eventually(|| fleet.agree(&ALL)), "{}", fleet.logs());
     for i in [0, 1, 2] {
         fleet.retune(i, (0.55, 0.45), true);
     }
