Keep an audit of every dispatch and refusal, gather it with the kit, share by who serves

Change: src/audit/ numbers decisions (Trail), turns files over (Rotation), keeps them in postcard frames with a CRC behind COBS (store) and compares managers (report), all without sockets; src/net/audit.rs has the core's side, which never waits, and the thread of the files. The core alone says what the module acts on (net::core::acts_on): before, the list's actor and the signals' task said so ahead of the module. GET /audit?since=LIFE.NUMBER pages through it; yokelift-kit audit prints who acted on what, where the fleet disagrees and how changes spread. membership::Sharers counts who shares warm engines: fewer only with a majority surely alive and after the grace, more at once. On only with [audit] in the fleet file; run is unchanged.

Faults found on the way: with limits.peers true the module waited for beats that the daemon never carried and took all others for dead (manager/mod.rs carries no Tell): 66 sends instead of 6 with eight managers; mended by mute(). A new version could not start beside the old one with a fleet file, as the old one holds the UDP address (main.rs): it now takes the seat once that is free. Counting shares at once let the smaller side of a partition take shares while it still found the others dead one by one (log: 4 of 5, then 3 of 5 on both sides): hence the grace.

--- a/src/front/console.rs
+++ b/src/front/console.rs
@@ -1,4 +1,6 @@
 //! The second address, for operators alone: HTTP/1.1, one call to a connection. Parser and wording, no sockets.
+use crate::audit::Place;
+use crate::audit::store::PAGE;
 use crate::http::{self, Fault};
 use crate::manager::counters::{Figures, Tally};
 use std::fmt::Write as _;
@@ -19,6 +21,8 @@
     Undrain,
     /// `GET /fleet`: the members of the fleet as this manager sees them, one JSON object a line.
     Fleet,
+    /// `GET /audit?since=LIFE.NUMBER&most=N`: what this manager decided after that record, and on what.
+    Audit(Place, usize),
 }
 
 /// Why a call can't be answered.
@@ -34,14 +38,17 @@
     Unknown,
     /// The call has another method: that one.
     Method(&'static str),
+    /// What is said behind its path can't be used.
+    Query,
 }
 
-const CALLS: [(&str, &str, Call); 5] = [
+const CALLS: [(&str, &str, Call); 6] = [
     ("GET", "/ready", Call::Ready),
     ("GET", "/metrics", Call::Metrics),
     ("POST", "/drain", Call::Drain),
     ("POST", "/undrain", Call::Undrain),
     ("GET", "/fleet", Call::Fleet),
+    ("GET", "/audit", Call::Audit(Place { life: 0, number: 0 }, PAGE)),
 ];
 
 /// Reads a call, if its head is there whole. A body means nothing.
@@ -60,9 +67,27 @@
     if !version.starts_with("HTTP/1.") {
         return Err(Wrong::Malformed);
     }
-    let path = target.split('?').next().unwrap_or_default();
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let (right, _, call) = CALLS.iter().find(|(_, p, _)| *p == path).ok_or(Wrong::Unknown)?;
-    if method == right { Ok(Some(*call)) } else { Err(Wrong::Method(right)) }
+    if method != right {
+        return Err(Wrong::Method(right));
+    }
+    match call {
+        Call::Audit(since, most) => audit(query, *since, *most).map(Some),
+        _ => Ok(Some(*call)),
+    }
+}
+
+/// The words of `GET /audit`: others than its own are left aside, as on the other calls.
+fn audit(query: &str, mut since: Place, mut most: usize) -> Result<Call, Wrong> {
+    for word in query.split('&') {
+        match word.split_once('=') {
+            Some(("since", place)) => since = place.parse().map_err(|_| Wrong::Query)?,
+            Some(("most", count)) => most = count.parse().map_err(|_| Wrong::Query)?,
+            _ => {}
+        }
+    }
+    Ok(Call::Audit(since, most.clamp(1, PAGE)))
 }
 
 /// An answer, whole.
@@ -92,8 +117,10 @@
         Wrong::TooLong => answer(431, None, "the head of the request is too long\n"),
         Wrong::Late => answer(408, None, "the request did not come whole in time\n"),
         Wrong::Unknown => {
-            answer(404, None, "there are GET /ready, GET /metrics, POST /drain and POST /undrain\n")
+            let calls = CALLS.map(|(method, path, _)| format!("{method} {path}")).join(", ");
+            answer(404, None, &format!("there are {calls}\n"))
         }
+        Wrong::Query => answer(400, None, "use since=LIFE.NUMBER and most=COUNT\n"),
         Wrong::Method(right) => answer(405, Some(right), &format!("use {right}\n")),
     }
 }
--- a/src/kit/mod.rs
+++ b/src/kit/mod.rs
@@ -1,10 +1,12 @@
 //! Test and rehearsal kit: stand-ins for all that the daemon talks to, on loopback, and short scripted scenarios.
 //! The repository's own tests use the same stand-ins.
+pub mod audit;
 pub mod clients;
 pub mod coordinator;
 pub mod daemon;
 pub mod directory;
 pub mod engines;
+pub mod fleet;
 pub mod relay;
 pub mod script;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 #[cfg(doctest)]
 pub struct ReadmeExample;
 
+pub mod audit;
 pub mod clock;
 pub mod config;
 pub mod decide;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use yokelift::audit::{Acting, Under};
 use yokelift::config::{self, Config};
 use yokelift::deploy::{self, ClassRules, Deploy, Users};
 use yokelift::directory::Tenants;
@@ -83,14 +84,26 @@
 
 fn serve(config: Config, deploy: Option<Deploy>, files: Files) -> Result<(), String> {
     let shared = Shared::new(config.limits.sockets, config.limits.memory_mb);
-    shared.generation.set((1, net::membership::settings_hash(&config.text)));
-    if let Some(fleet) = files.fleet.as_ref() {
-        let socket = net::membership::bind(fleet.bind(config.listen))?;
-        shared.spawn(net::membership::run(shared.clone(), socket, config.name.clone(), fleet.clone()));
-    }
+    let life = clock::turn();
+    let settings = net::membership::settings_hash(&config.text);
+    shared.acting.set(Acting { generation: 1, settings, list: 0 });
+    let audit = files.fleet.as_ref().and_then(|fleet| fleet.audit).map(|bounds| {
+        let (member, build, acting) = (config.name.clone(), net::membership::build(), shared.acting.get());
+        net::audit::start(&shared, Under { member, life, build, acting, since: life }, bounds)
+    });
+    let audit = audit.transpose()?;
     // With an address for operators there may be a process that this one follows, or one that will follow it.
     let place = config.console.and_then(|_| handover::place(&config.name));
     let mut taken = place.as_deref().and_then(|place| block_on(handover::ask(place, &config.name)));
+    let fleet = files.fleet.clone().map(|fleet| {
+        let at = fleet.bind(config.listen);
+        match net::membership::bind(at) {
+            // The process before this one is the member until it ends.
+            Err(_) if taken.is_some() => Ok((None, at, fleet)),
+            bound => bound.map(|socket| (Some(socket), at, fleet)),
+        }
+    });
+    let fleet = fleet.transpose()?;
     let mut listen_at = |addr: SocketAddr| {
         let passed = taken.as_mut().and_then(|taken| taken.listeners.remove(&addr));
         let listener = match (passed, config.console) {
@@ -122,6 +135,11 @@
     let mut manager = Manager::new(clock::turn(), config.settings, &names.classes, config.seed);
     manager.hold_at_most(shared.most_unread_bytes.get());
     let (core, mailbox) = bounded(core::MAILBOX);
+    if let Some((socket, at, fleet)) = fleet {
+        let (name, module) = (config.name.clone(), core.clone());
+        let seat = net::membership::Seat { name, life, fleet, managers: settings.gateways, module };
+        shared.spawn(net::membership::take_seat(shared.clone(), socket, at, seat));
+    }
     let (updates, list_mailbox) = bounded(list::MAILBOX);
     let make = list::engines(shared.clone(), core.clone(), names.clone(), http.clone());
     shared.spawn(list::run(shared.clone(), core.clone(), list_mailbox, make, http));
@@ -233,9 +251,6 @@
                 Signal::Usr1 => Input::Report,
                 Signal::Hup => match reload.again().await {
                     Ok(()) => {
-                        let (number, _) = flags.generation.get();
-                        let hash = net::membership::settings_hash(&reload.text.borrow());
-                        flags.generation.set((number + 1, hash));
                         log!("read the configuration again");
                         Input::Reloaded(true)
                     }
@@ -254,7 +269,7 @@
         }
     });
     let executor = shared.executor.clone();
-    let manager = block_on(executor.run(core::run(shared, manager, mailbox)));
+    let manager = block_on(executor.run(core::run(shared, manager, mailbox, audit)));
     eprintln!("yokelift: {}", manager.counters);
     Ok(())
 }
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -6,7 +6,8 @@
 pub mod counters;
 pub mod ends;
 
-use crate::clock::{Micros, micros, nanos};
+use crate::audit::{Decision, What};
+use crate::clock::{MS, Micros, micros, nanos};
 use crate::decide::Gateway;
 use crate::generations::{Class, Generations};
 use crate::interface::*;
@@ -194,6 +195,8 @@
     most_statements: usize,
     next_id: u32,
     acts: Vec<Action>,
+    /// Decisions since they were last taken, where the audit is kept.
+    decisions: Option<Vec<Decision>>,
     /// What happened so far.
     pub counters: Counters,
 }
@@ -201,6 +204,7 @@
 impl Manager {
     /// A core that knows nothing but its settings.
     pub fn new(now: Micros, settings: Settings, names: &[String], seed: u64) -> Manager {
+        let settings = mute(settings);
         let mut manager = Manager {
             generations: Generations::new(named(&settings, names)),
             send_cap: send_cap(&settings),
@@ -216,6 +220,7 @@
             most_statements: usize::MAX,
             next_id: 0,
             acts: Vec::new(),
+            decisions: None,
             counters: Counters::default(),
         };
         manager.list_classes(names);
@@ -229,7 +234,7 @@
         let fresh: Vec<_> = fresh.iter().map(|fresh| (fresh.slot, fresh.heir_of)).collect();
         let classes = self.generations.slots().map(|(class, _)| class.spec.clone()).collect();
         self.send_cap = send_cap(&settings);
-        self.module.retune(Settings { classes, ..settings }, &fresh);
+        self.module.retune(Settings { classes, ..mute(settings) }, &fresh);
         self.list_classes(names);
     }
 
@@ -250,6 +255,35 @@
         self.most_statements = bytes;
     }
 
+    /// Whether decisions are noted for the audit.
+    pub fn audit(&mut self, kept: bool) {
+        self.decisions = kept.then(Vec::new);
+    }
+
+    /// What was decided since the last call, in order.
+    pub fn decisions(&mut self) -> Vec<Decision> {
+        self.decisions.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    fn note(&mut self, class: ClassId, request: &Rc<str>, what: What) {
+        let (Some(decisions), Some(class)) = (&mut self.decisions, self.generations.class(class)) else {
+            return;
+        };
+        decisions.push(Decision { what, class: class.name.clone(), request: request.clone() });
+    }
+
+    fn note_answer(&mut self, class: ClassId, request: &Rc<str>, answer: &Answer) {
+        match answer {
+            Answer::Refused(after) => {
+                let after = u32::try_from(after.unwrap_or(0) / MS).unwrap_or(u32::MAX);
+                self.note(class, request, What::Refuse(after));
+            }
+            Answer::Failed(_) => self.note(class, request, What::Fail),
+            // One that was served is told by its dispatch; one that another process worded, by that process.
+            Answer::Served(_) | Answer::Worded(_) => {}
+        }
+    }
+
     /// Counts a final answer.
     fn count(&mut self, class: ClassId, answer: &Answer) {
         match answer {
@@ -274,6 +308,9 @@
 
     /// A front turned a request of that class away by itself.
     pub fn turned_away(&mut self, class: ClassId, answer: &Answer) {
+        if self.decisions.is_some() {
+            self.note_answer(class, &Rc::from(""), answer);
+        }
         self.tally(class, answer);
     }
 
@@ -325,6 +362,11 @@
         self.module.split(part);
     }
 
+    /// So many managers share the warm engines, as the fleet's membership counts them.
+    pub fn share_among(&mut self, managers: u32) {
+        self.module.share_among(managers);
+    }
+
     /// A request came in.
     pub fn take(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
         self.counters.taken += 1;
@@ -376,6 +418,7 @@
 
     fn turn_down(&mut self, ask: &Ask, answer: Answer, orders: &mut Vec<Order>) {
         self.count(ask.class, &answer);
+        self.note_answer(ask.class, &ask.key, &answer);
         orders.push(Order::Answer(ask.origin, answer));
     }
 
@@ -569,6 +612,8 @@
         self.deadlines.insert((until, id));
         let (key, class, statement) = (open.ask.key.clone(), name.clone(), open.ask.statement.clone());
         let (session, memory_mb) = (open.ask.session.clone(), open.memory_mb);
+        let of = open.ask.class;
+        self.note(of, &key, What::Dispatch(attempt.0, engine.0));
         let job = Job { id, attempt, key, class, once, statement, session, until, memory_mb };
         orders.push(Order::Start(engine, job));
     }
@@ -605,7 +650,9 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         open.closed = true;
         let (origin, class, at) = (open.ask.origin, open.ask.class, open.ask.give_up_at + GUARD);
+        let key = open.ask.key.clone();
         self.count(class, &answer);
+        self.note_answer(class, &key, &answer);
         self.origins.remove(&origin);
         self.deadlines.remove(&(at, id));
         orders.push(Order::Answer(origin, answer));
@@ -628,6 +675,13 @@
     }
 }
 
+/// The module's own beats are not carried between managers: the fleet's membership counts who lives. Guards the shares:
+/// a module that waits for beats which never come takes all other managers for dead, and their parts for its own.
+fn mute(mut settings: Settings) -> Settings {
+    settings.limits.may_tell = false;
+    settings
+}
+
 /// The classes of the settings under their names.
 fn named(settings: &Settings, names: &[String]) -> Vec<Class> {
     let class =
--- a/src/membership/file.rs
+++ b/src/membership/file.rs
@@ -1,6 +1,7 @@
 //! The operator's file of the fleet's membership: where this manager takes datagrams, whom it greets first, and the
 //! protocol's timings. TOML; unknown keys are refused.
 use super::Timing;
+use crate::audit::Bounds;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -21,6 +22,8 @@
     /// The protocol's timings.
     #[serde(default)]
     pub timing: Timing,
+    /// The bounds on the audit's files; without it no audit is kept.
+    pub audit: Option<Bounds>,
 }
 
 fn port() -> u16 {
@@ -32,6 +35,7 @@
     pub fn parse(text: &str) -> Result<Fleet, String> {
         let fleet: Fleet = toml::from_str(text).map_err(|e| format!("fleet: {}", e.message()))?;
         fleet.timing.check()?;
+        fleet.audit.iter().try_for_each(Bounds::check)?;
         if [fleet.bind, fleet.advertise].iter().flatten().any(|b| !b.is_ipv4())
             || fleet.seeds.iter().any(|s| !s.is_ipv4())
         {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -584,6 +584,59 @@
     }
 }
 
+/// How many managers share the warm engines, as one manager counts them.
+///
+/// Those that are shut out, have left or are dead take no share, as long as those surely alive are more than half of
+/// all that are known; else each one counts. What others leave is taken over only once that has stood for the grace;
+/// what they take back is given back at once.
+///
+/// Guards engines against a fleet in two: of its sides at most one takes over the other's shares, and none does while
+/// it still finds out how much of the fleet it has lost.
+#[derive(Clone, Debug)]
+pub struct Sharers {
+    /// All managers, by the settings.
+    managers: u32,
+    counted: u32,
+    /// Since when fewer than are counted would do.
+    fewer_since: Option<Micros>,
+}
+
+impl Sharers {
+    /// Everyone counts at first.
+    pub fn new(managers: u32) -> Sharers {
+        let managers = managers.max(1);
+        Sharers { managers, counted: managers, fewer_since: None }
+    }
+
+    /// Counts anew; told is how many share.
+    pub fn count<'a>(
+        &mut self,
+        me: &'a Rumour,
+        others: impl Iterator<Item = &'a Rumour>,
+        grace: Micros,
+        now: Micros,
+    ) -> u32 {
+        let (mut known, mut sure, mut out) = (0, 0, 0);
+        for rumour in others.chain([me]) {
+            let gone = matches!(rumour.health, Health::Dead | Health::Left);
+            let shut = rumour.versions.stage == SHUT_OUT;
+            known += 1;
+            out += u32::from(gone || shut);
+            sure += u32::from(rumour.health == Health::Alive && !shut);
+        }
+        let majority = 2 * sure > known;
+        let counted = if majority { self.managers.saturating_sub(out).max(1) } else { self.managers };
+        let stood = |since: &mut Option<Micros>| now >= *since.get_or_insert(now) + grace;
+        if counted >= self.counted || stood(&mut self.fewer_since) {
+            (self.counted, self.fewer_since) = (counted, None);
+        }
+        self.counted
+    }
+}
+
+/// The stage that a manager tells while it is shut out.
+pub const SHUT_OUT: &str = "shut-out";
+
 /// The bytes a second that one manager's membership traffic may take at the most while nothing fails: a ping and an
 /// ack that it sends a period, and the acks of the pings it is sent, which are as many on the mean; each one datagram.
 pub fn budget(timing: &Timing) -> u64 {
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -1,6 +1,7 @@
 //! The second address: its listener and the actor of each caller. Answers from the lifecycle and from what the core
 //! has put down; it never waits for the module.
 use super::{Held, Shared, until};
+use crate::audit::Place;
 use crate::clock::{self, MS, Micros, SEC};
 use crate::front::console::{self, Call, Wrong};
 use crate::log;
@@ -67,7 +68,7 @@
     };
     let Some(call) = or(shed, or(read(&mut stream), late)).await else { return };
     let answer = match call {
-        Ok(call) => carry_out(shared, call),
+        Ok(call) => carry_out(shared, call).await,
         Err(why) => console::wrong(why),
     };
     let last_at = clock::turn() + SEC;
@@ -97,7 +98,15 @@
     }
 }
 
-fn carry_out(shared: &Shared, call: Call) -> Vec<u8> {
+async fn audit(shared: &Shared, since: Place, most: usize) -> Vec<u8> {
+    match super::audit::read(shared, since, most).await {
+        Some(Ok(page)) => console::answer(200, None, &page.text()),
+        Some(Err(why)) => console::answer(503, None, &format!("{why}\n")),
+        None => console::answer(404, None, "no audit is kept: no fleet file with [audit]\n"),
+    }
+}
+
+async fn carry_out(shared: &Shared, call: Call) -> Vec<u8> {
     let now = clock::turn();
     match call {
         Call::Ready => {
@@ -120,6 +129,7 @@
                 console::answer(409, None, "the program is about to end\n")
             }
         }
+        Call::Audit(since, most) => audit(shared, since, most).await,
         Call::Fleet => match shared.fleet.borrow().as_ref() {
             Some(view) => console::answer(200, None, &view.lines()),
             None => console::answer(404, None, "no fleet membership: started without a fleet file\n"),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,7 +1,9 @@
 //! The actor of the module: takes in what all others report, and hands out what the core orders. It never
 //! waits for any of them.
+use super::audit::Keeper;
 use super::engine::ToEngine;
 use super::{Shared, until};
+use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
 use crate::generations::Class;
 use crate::interface::{
@@ -47,11 +49,11 @@
         /// Its load.
         load: LoadReport,
     },
-    /// News of the list, and the actors of new engines.
-    List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>),
-    /// New settings with the names of their classes; told back are all classes by their ids, and whether each is
-    /// in force.
-    Retune(Box<Settings>, Vec<String>, Sender<Vec<(Class, bool)>>),
+    /// News of the list, the actors of new engines, and the number of its event.
+    List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>, u64),
+    /// New settings with the names of their classes and a hash of them; told back are all classes by their ids, and
+    /// whether each is in force.
+    Retune(Box<Settings>, Vec<String>, u64, Sender<Vec<(Class, bool)>>),
     /// The tenants' shares, as a new configuration or the directory has them.
     Tenants(Vec<TenantSpec>),
     /// The directory was read.
@@ -64,6 +66,8 @@
     Report,
     /// That part of the manager is this process's.
     Part(f64),
+    /// So many managers share the warm engines.
+    Sharers(u32),
     /// End once all is answered.
     Stop,
 }
@@ -75,19 +79,30 @@
     orders: Vec<Order>,
     /// What was still open at the end has been answered.
     ended: bool,
+    /// What the module acts on.
+    acting: Acting,
+    /// The audit, where it is kept.
+    audit: Option<Keeper>,
 }
 
 /// Runs until it was asked to stop and all is answered.
-pub async fn run(shared: Rc<Shared>, manager: Manager, mailbox: Receiver<Input>) -> Manager {
-    let (clients, engines) = (HashMap::new(), HashMap::new());
-    let mut core = Core { manager, clients, engines, orders: Vec::new(), ended: false };
+pub async fn run(
+    shared: Rc<Shared>,
+    manager: Manager,
+    mailbox: Receiver<Input>,
+    audit: Option<Keeper>,
+) -> Manager {
+    let (clients, engines, acting) = (HashMap::new(), HashMap::new(), shared.acting.get());
+    let mut core = Core { manager, clients, engines, orders: Vec::new(), ended: false, acting, audit };
+    core.manager.audit(core.audit.is_some());
     let mut figures_at = 0;
     loop {
         let stop_at = shared.life.borrow().accepts_until();
         let stop_due = stop_at.map(|at| at.max(clock::now() + 5 * MS));
         let life = || shared.life.borrow();
         let last_at = life().gives_up_at(core.manager.longest_deadline()).filter(|_| !core.ended);
-        let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).min();
+        let kept_at = core.audit.as_ref().and_then(Keeper::due);
+        let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).chain(kept_at).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
             None
@@ -108,6 +123,10 @@
             *shared.figures.borrow_mut() = core.manager.figures();
         }
         core.dispatch(now);
+        shared.acting.set(core.acting);
+        if let Some(audit) = &mut core.audit {
+            audit.turn(now, &core.manager.decisions());
+        }
         // Guards against an end that takes the last answer along: it may still be in its client's mailbox, or
         // not written yet.
         let handed_on = shared.unwritten.get() == 0 && core.clients.values().all(Sender::is_empty);
@@ -115,13 +134,35 @@
         // Behind a successor clients go on to use the connections that they keep.
         let kept = life().handed_over() && shared.client_sockets.get() > 0 && !core.ended;
         if quiet && !kept && stop_at.is_some_and(|at| at <= now) {
+            if let Some(audit) = core.audit {
+                audit.finish().await;
+            }
             return core.manager;
         }
     }
 }
 
 impl Core {
+    /// What comes from here on is decided on this; what came before is told under what it was decided on.
+    fn acts_on(&mut self, now: Micros, acting: Acting) {
+        self.acting = acting;
+        if let Some(audit) = &mut self.audit {
+            audit.turn(now, &self.manager.decisions());
+            audit.acts_on(now, acting);
+        }
+    }
+
     fn input(&mut self, now: Micros, input: Input) {
+        match &input {
+            Input::List(.., version) => {
+                self.acts_on(now, Acting { list: self.acting.list.max(*version), ..self.acting });
+            }
+            Input::Retune(_, _, hash, _) => {
+                let generation = self.acting.generation + 1;
+                self.acts_on(now, Acting { generation, settings: *hash, ..self.acting });
+            }
+            _ => {}
+        }
         let (manager, orders) = (&mut self.manager, &mut self.orders);
         match input {
             Input::Opened(conn, answers) => drop(self.clients.insert(conn, answers)),
@@ -136,17 +177,18 @@
             Input::Probed { engine, kind, latency, load } => {
                 manager.probed(now, engine, kind, latency, load, orders);
             }
-            Input::List(kind, entries, actors) => {
+            Input::List(kind, entries, actors, _) => {
                 self.engines.retain(|_, actor| !actor.is_closed());
                 self.engines.extend(actors);
                 manager.list(now, kind, entries, orders);
             }
-            Input::Retune(settings, names, done) => {
+            Input::Retune(settings, names, _, done) => {
                 manager.retune(*settings, &names);
                 let _ = done.try_send(manager.classes());
             }
             Input::Tenants(tenants) => manager.tenants(&tenants),
             Input::Part(part) => manager.split(part),
+            Input::Sharers(managers) => manager.share_among(managers),
             Input::DirectoryRead => manager.counters.directory_readings += 1,
             Input::Reloaded(true) => manager.counters.reloads += 1,
             Input::Reloaded(false) => manager.counters.reload_failures += 1,
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -88,7 +88,6 @@
     let mut first = true;
     while let Ok(mut update) = mailbox.recv().await {
         let mut made = Vec::new();
-        shared.list_version.set(shared.list_version.get().max(update.index));
         supersede(&known, &mut update);
         if update.whole {
             // A whole list of the coordinator does not name the engines of the file.
@@ -129,7 +128,7 @@
         };
         first = false;
         let entries = update.engines.iter().map(|l| l.entry).collect();
-        let _ = core.send(Input::List(kind, entries, made)).await;
+        let _ = core.send(Input::List(kind, entries, made, update.index)).await;
     }
 }
 
@@ -286,7 +285,7 @@
                     engines.push(one(id - 1, 1_000 + (id / 2 - 1) as u16, Readiness::Gone));
                 }
                 let _ = updates.send(Update { index: u64::from(id), whole: id == 1, engines }).await;
-                let Ok(Input::List(_, entries, _)) = news.recv().await else { panic!("no news") };
+                let Ok(Input::List(_, entries, ..)) = news.recv().await else { panic!("no news") };
                 told.extend(entries.iter().filter(|e| e.readiness == Readiness::Gone).map(|e| e.id.0));
             }
             told
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -1,12 +1,17 @@
 //! The actor of the fleet's membership: one UDP socket between managers, the pure machine of `crate::membership`, and
 //! what it puts down for the second address. Started only with the operator's fleet file.
+use super::core::Input;
 use super::{Shared, until};
+use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
 use crate::lifecycle::Stage;
 use crate::log;
 use crate::membership::file::Fleet;
 use crate::membership::wire::{self, Unread};
-use crate::membership::{Action, Health, Membership, Rumour, Standing, Straggler, Versions};
+use crate::membership::{
+    Action, Health, Membership, Rumour, SHUT_OUT, Sharers, Standing, Straggler, Versions,
+};
+use async_channel::Sender;
 use async_io::Async;
 use futures_lite::future::or;
 use serde::Serialize;
@@ -17,6 +22,9 @@
 /// The view is put down anew at most this often, and at each change of a member.
 const VIEW_EVERY: Micros = 100 * MS;
 
+/// A seat that is taken is asked for again this often.
+const SEAT_EVERY: Micros = 100 * MS;
+
 /// The build this program was made from: its version, and the id given to the build if one was.
 pub fn build() -> String {
     let id = option_env!("YOKELIFT_BUILD_ID").unwrap_or("local");
@@ -68,11 +76,11 @@
 
 /// What this manager acts on now.
 fn versions(shared: &Shared) -> Versions {
-    let (generation, settings) = shared.generation.get();
+    let Acting { generation, settings, list } = shared.acting.get();
     let life = shared.life.borrow();
     let stage =
-        if life.is_shut_out() { "shut-out".to_owned() } else { format!("{:?}", life.stage()).to_lowercase() };
-    Versions { build: build(), generation, settings, list: shared.list_version.get(), stage }
+        if life.is_shut_out() { SHUT_OUT.to_owned() } else { format!("{:?}", life.stage()).to_lowercase() };
+    Versions { build: build(), generation, settings, list, stage }
 }
 
 /// Binds the socket: a start with a taken address ends with one line.
@@ -81,17 +89,44 @@
     socket.map_err(|e| format!("fleet: can't take datagrams at {at}: {e}"))
 }
 
+/// Who runs the membership.
+pub struct Seat {
+    /// The manager's name.
+    pub name: String,
+    /// The start of its process.
+    pub life: Micros,
+    /// The operator's file.
+    pub fleet: Fleet,
+    /// How many managers there are, by the settings.
+    pub managers: u32,
+    /// The module, which is told how many of them share the engines.
+    pub module: Sender<Input>,
+}
+
+/// Runs the membership on its socket, or on that address once the process before this one has left it.
+pub async fn take_seat(shared: Rc<Shared>, mut socket: Option<Async<UdpSocket>>, at: SocketAddr, seat: Seat) {
+    while socket.is_none() && shared.life.borrow().stage() != Stage::Stopping {
+        until(Some(clock::turn() + SEAT_EVERY)).await;
+        socket = bind(at).ok();
+    }
+    if let Some(socket) = socket {
+        run(shared, socket, seat).await;
+    }
+}
+
 /// Runs the membership until the program is asked to end; then it says that it goes.
-pub async fn run(shared: Rc<Shared>, socket: Async<UdpSocket>, name: String, fleet: Fleet) {
+async fn run(shared: Rc<Shared>, socket: Async<UdpSocket>, seat: Seat) {
+    let Seat { name, life, fleet, managers, module } = seat;
     let now = clock::turn();
     let bound = socket.get_ref().local_addr().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
     let (addr, seeds, timing) = (fleet.advertise.unwrap_or(bound), fleet.seeds, fleet.timing);
     // A new life outranks every earlier one under the same name: its first incarnation is the time of its start.
-    let me = Rumour { name, addr, incarnation: now, health: Health::Alive, versions: versions(&shared) };
+    let me = Rumour { name, addr, incarnation: life, health: Health::Alive, versions: versions(&shared) };
     let (grace, most) = (timing.grace_ms * MS, timing.datagram);
     let mut machine = Membership::new(me, timing, seeds, now, now);
     let mut straggler = Straggler::default();
     let (mut buffer, mut shown_at, mut brought_up) = (vec![0; most + 1], 0, false);
+    let (mut sharers, mut told) = (Sharers::new(managers), managers);
     loop {
         let wakes = machine.wakes();
         let received = or(async { Some(socket.recv_from(&mut buffer).await) }, async {
@@ -136,6 +171,13 @@
             .collect();
         let standing = straggler.judge(&machine.me().versions, &others, grace, now);
         stand(&shared, standing, &mut brought_up);
+        let rumours = machine.members().values().map(|m| &m.rumour);
+        let counted = sharers.count(machine.me(), rumours, grace, now);
+        // Without room in the module's mailbox it is told at a later turn: nobody waits for it here.
+        if counted != told && module.try_send(Input::Sharers(counted)).is_ok() {
+            told = counted;
+            log!("fleet: {counted} of {managers} managers share the engines");
+        }
         if changed || now >= shown_at + VIEW_EVERY {
             shown_at = now;
             *shared.fleet.borrow_mut() = Some(Rc::new(view(&machine, standing, now)));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The sockets. Each peer has an actor with a bounded mailbox (a client connection, an engine, the
 //! coordinator), and so have the list of engines and the module. All run on one thread.
+pub mod audit;
 pub mod client;
 pub mod console;
 pub mod coordinator;
@@ -11,6 +12,7 @@
 pub mod membership;
 pub mod reload;
 
+use crate::audit::Acting;
 use crate::clock::{self, Micros};
 use crate::lifecycle::Lifecycle;
 use crate::manager::counters::Figures;
@@ -71,10 +73,10 @@
     pub next_conn: Cell<u64>,
     /// Whether all engines in service know databases: those that speak the ClickHouse interface do.
     pub databases: Cell<bool>,
-    /// The settings generation in force: its number and a hash of its text.
-    pub generation: Cell<(u64, u64)>,
-    /// The number of the last event of the endpoint list taken.
-    pub list_version: Cell<u64>,
+    /// What the module acts on, as the core put it down last.
+    pub acting: Cell<Acting>,
+    /// To the thread that has the audit's files, where there is one.
+    pub audit: RefCell<Option<Sender<audit::Job>>>,
     /// What the fleet's membership put down last, for the second address.
     pub fleet: RefCell<Option<Rc<membership::View>>>,
 }
@@ -105,8 +107,8 @@
             buffer: RefCell::new(vec![0; BUFFER]),
             next_conn: Cell::new(1),
             databases: Cell::new(false),
-            generation: Cell::new((1, 0)),
-            list_version: Cell::new(0),
+            acting: Cell::default(),
+            audit: RefCell::default(),
             fleet: RefCell::default(),
         });
         shared.limit(sockets, memory_mb);
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -4,6 +4,7 @@
 use super::coordinator::Move;
 use super::core::Input;
 use super::list::parse_known;
+use super::membership::settings_hash;
 use crate::clock::micros;
 use crate::config::{self, Config, LiveNames, Names};
 use crate::deploy::{self, ClassRules, Users};
@@ -116,7 +117,8 @@
         *self.settings.borrow_mut() = settings.clone();
         let (done, told) = bounded(1);
         let names = config.names.classes.clone();
-        let _ = self.core.send(Input::Retune(Box::new(settings), names, done)).await;
+        let hash = settings_hash(&config.text);
+        let _ = self.core.send(Input::Retune(Box::new(settings), names, hash, done)).await;
         told.recv().await.unwrap_or_default()
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -271,6 +271,12 @@
         self.part = part;
     }
 
+    /// So many gateways share the warm engines now, those that do not serve left out. Budgets of cold engines stay
+    /// parts of all gateways.
+    pub fn share_among(&mut self, gateways: u32) {
+        self.sharers = f64::from(gateways.clamp(1, self.s.gateways.max(1))) / self.part;
+    }
+
     /// Drops a request that is over and has nothing out, and passes on its key's turn.
     pub(crate) fn forget(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -52,6 +52,8 @@
     classes: Vec<(String, bool)>,
     most: u32,
     ids: BTreeMap<RequestId, u64>,
+    /// What the audit was given.
+    audited: Vec<Decision>,
 }
 
 fn entry(id: u64, readiness: Readiness) -> EngineEntry {
@@ -86,9 +88,12 @@
     fn new() -> Model {
         let (settings, classes, most) = file(0);
         let names: Vec<String> = classes.iter().map(|(name, _)| name.clone()).collect();
-        let manager = Manager::new(SEC, settings, &names, 7);
+        let mut manager = Manager::new(SEC, settings, &names, 7);
+        manager.audit(true);
         let (seen, ids) = (BTreeMap::new(), BTreeMap::new());
-        let mut model = Model { manager, now: SEC, seen, ready: BTreeSet::new(), classes, most, ids };
+        let ready = BTreeSet::new();
+        let audited = Vec::new();
+        let mut model = Model { manager, now: SEC, seen, ready, classes, most, ids, audited };
         model.ready = (1..=3).map(EngineId).collect();
         let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
         let mut orders = Vec::new();
@@ -228,8 +233,58 @@
                 self.now = until;
             }
         }
+        self.audited.extend(self.manager.decisions());
         self.obey(orders)
     }
+
+    /// The audit has each dispatch, refusal and failure once, under the request's name.
+    fn audited(&mut self) -> Result<(), String> {
+        self.audited.extend(self.manager.decisions());
+        for (tag, seen) in &self.seen {
+            let key = format!("{tag:016x}");
+            let of = |is: fn(&What) -> bool| {
+                self.audited.iter().filter(|d| *d.request == *key && is(&d.what)).count() as u32
+            };
+            let told = (
+                of(|w| matches!(w, What::Dispatch(..))),
+                of(|w| matches!(w, What::Refuse(_))),
+                of(|w| matches!(w, What::Fail)),
+            );
+            let was = |is: fn(&Answer) -> bool| u32::from(seen.how.as_ref().is_some_and(is));
+            let is = (
+                seen.sends,
+                was(|a| matches!(a, Answer::Refused(_))),
+                was(|a| matches!(a, Answer::Failed(_))),
+            );
+            if told != is {
+                return Err(format!("{key}: the audit has {told:?}, there were {is:?}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Guards the engines where the settings let managers talk: nobody carries the module's own beats, so a module that
+/// waited for them would take all others for dead and use their parts.
+#[test]
+fn a_manager_whose_beats_nobody_carries_keeps_to_its_part() {
+    let sent = |peers: bool| {
+        let mut text = crate::kit::daemon::settings();
+        (text["peers_total"], text["limits"]["peers"]) = (8.into(), peers.into());
+        let settings = settings::parse(text.to_string().as_bytes()).expect("settings");
+        let mut model = Model::new();
+        let names: Vec<String> = model.classes.iter().map(|(name, _)| name.clone()).collect();
+        model.manager = Manager::new(SEC, settings, &names, 7);
+        let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
+        model.manager.list(SEC, ListKind::Cached, all, &mut Vec::new());
+        model.step(&Step::Wait(30_000)).expect("time passes");
+        let asked = (0..200).map(|_| model.step(&Step::Ask(252)));
+        asked.collect::<Result<Vec<()>, String>>().expect("asked");
+        model.seen.values().filter(|s| s.sends > 0).count()
+    };
+    let (alone, talking) = (sent(false), sent(true));
+    assert!(alone > 0 && alone < 100, "{alone}");
+    assert_eq!(talking, alone);
 }
 
 #[test]
@@ -244,6 +299,8 @@
         if open > 0 || counters.open() > 0 || !model.manager.open.is_empty() {
             return Err(format!("{open} without an answer; {counters}"));
         }
+        model.audited()?;
+        let counters = &model.manager.counters;
         // The figures by class are the answers given.
         for (class, tally) in &counters.classes {
             let answers = |is: fn(&Answer) -> bool| {
--- a/tests/inside/membership.rs
+++ b/tests/inside/membership.rs
@@ -289,6 +289,45 @@
     assert_eq!(straggler.judge(&moved, &[&moved, &moved], grace, 3 * grace), Standing::InStep);
 }
 
+/// Guards engines against shares that two sides take at once: what others leave is taken over by a majority alone and
+/// after the grace; a side that loses sight of the rest piece by piece takes nothing; what is taken back is given back
+/// at once.
+#[test]
+fn shares_pass_to_a_majority_that_has_stood_for_the_grace() {
+    let grace = 3 * SEC;
+    let with = |what: &[Health]| -> Vec<Rumour> {
+        what.iter().enumerate().map(|(i, h)| Rumour { health: *h, ..rumour(i + 1, 1) }).collect()
+    };
+    let me = rumour(0, 1);
+    use Health::*;
+    let mut sharers = Sharers::new(5);
+    let mut count = |others: &[Rumour], now| sharers.count(&me, others.iter(), grace, now);
+    let one_dead = with(&[Alive, Alive, Alive, Dead]);
+    assert_eq!(count(&one_dead, 0), 5);
+    assert_eq!(count(&one_dead, grace - 1), 5);
+    assert_eq!(count(&one_dead, grace), 4);
+    assert_eq!(count(&with(&[Alive, Alive, Alive, Alive]), grace + 1), 5);
+    // One that comes and goes within the grace is never counted out.
+    for k in 2..9 {
+        assert_eq!(count(&one_dead, k * 2 * grace), 5);
+        assert_eq!(count(&with(&[Alive; 4]), k * 2 * grace + grace / 2), 5);
+    }
+    // The smaller side of a partition finds the others dead one by one.
+    let mut now = 100 * grace;
+    for others in [[Alive, Dead, Suspect, Suspect], [Alive, Dead, Dead, Suspect], [Alive, Dead, Dead, Dead]] {
+        for _ in 0..4 {
+            now += grace;
+            assert_eq!(count(&with(&others), now), 5);
+        }
+    }
+    // One that is shut out takes none, one that left takes none; the settings may name more than are known.
+    let mut others = with(&[Alive, Alive, Alive, Left]);
+    others[0].versions.stage = SHUT_OUT.into();
+    let mut sharers = Sharers::new(300);
+    assert_eq!(sharers.count(&me, others.iter(), grace, 0), 300);
+    assert_eq!(sharers.count(&me, others.iter(), grace, grace), 298);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 24, failure_persistence: None, rng_seed: RngSeed::Fixed(20_261_201), ..ProptestConfig::default()
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -336,6 +336,23 @@
     assert_eq!((quarter, half), (5, 11), "1.4 times four threads, and of eight");
 }
 
+/// Guards the use of room that managers leave: their parts of warm engines pass to those that share now, and back.
+#[test]
+fn parts_follow_the_number_that_shares() {
+    let sent = |counted: &[u32]| {
+        let mut s = settings();
+        s.gateways = 4;
+        let mut rig = Rig::new(s, vec![entry(1, 0, 0)]);
+        counted.iter().for_each(|n| rig.g.share_among(*n));
+        rig.pass(S);
+        let ask = |id, now| Event::Request(ask(id, 0, now, 6 * S, 200 * MS));
+        (0..40).map(|id| sends(&rig.tell(ask(id, rig.now))).len()).sum::<usize>()
+    };
+    assert_eq!((sent(&[]), sent(&[2]), sent(&[2, 4])), (4, 8, 4), "of sixteen threads");
+    assert_eq!(sent(&[0]), sent(&[1]), "never of more than all");
+    assert_eq!(sent(&[9]), sent(&[4]), "never of more gateways than there are");
+}
+
 #[test]
 fn beats_do_not_grow_with_the_number_of_gateways() {
     let mut s = settings();
