--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -38,6 +38,10 @@
     Act,
     /// So many records, this one the last of them, were given up.
     Lost(u64),
+    /// The manager owns the duty that stands in the place of the request, under this token.
+    Own(u64),
+    /// It does not any more.
+    Disown(u64),
 }
 
 /// A decision as the core made it.
--- a/src/audit/report.rs
+++ b/src/audit/report.rs
@@ -97,9 +97,26 @@
     pub never: Vec<String>,
 }
 
+/// Who owned a duty, and when.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Owned {
+    /// The duty.
+    pub duty: String,
+    /// The lease's token.
+    pub token: u64,
+    /// The manager.
+    pub member: String,
+    /// From when.
+    pub from: Micros,
+    /// Until when; not known of one that did not come to say so.
+    pub until: Option<Micros>,
+}
+
 /// All of it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Report {
+    /// Who owned each duty, by its tokens.
+    pub owned: Vec<Owned>,
     /// A row for each thing that a process acted on, the latest last.
     pub acted: Vec<Acted>,
     /// Where the fleet is not one.
@@ -121,7 +138,7 @@
         }
     }
     let spreads = spreads(&acted, &all.iter().map(Gathered::name).collect::<Vec<_>>());
-    Report { disagreements: disagreements(all), spreads, missing, acted }
+    Report { owned: owned(all), disagreements: disagreements(all), spreads, missing, acted }
 }
 
 fn acted(records: &[Line]) -> Vec<Acted> {
@@ -156,12 +173,31 @@
             Told::Refuse { .. } => row.refused += 1,
             Told::Fail => row.failed += 1,
             Told::Lost { count } => row.lost += count,
-            Told::Act => {}
+            Told::Act | Told::Own { .. } | Told::Disown { .. } => {}
         }
     }
     rows
 }
 
+fn owned(all: &[Gathered]) -> Vec<Owned> {
+    let mut rows: BTreeMap<(String, u64, String), Owned> = BTreeMap::new();
+    for line in all.iter().flat_map(|one| &one.records) {
+        let row = |token: u64| (line.request.to_string(), token, line.under.member.clone());
+        match line.told {
+            Told::Own { token } => {
+                let (duty, token, member) = row(token);
+                let owned = Owned { duty, token, member, from: line.at, until: None };
+                rows.insert(row(token), owned);
+            }
+            Told::Disown { token } => {
+                rows.get_mut(&row(token)).into_iter().for_each(|owned| owned.until = Some(line.at));
+            }
+            _ => {}
+        }
+    }
+    rows.into_values().collect()
+}
+
 /// Where managers act on different things now, by their own word, or see different members.
 fn disagreements(all: &[Gathered]) -> Vec<Disagreement> {
     type Word = (&'static str, fn(&Versions) -> String);
@@ -300,6 +336,21 @@
                 held.iter().map(|(what, who)| format!("{what} ({})", who.join(", "))).collect();
             let _ = writeln!(out, "- {about}: {}", held.join("; "));
         }
+        if !self.owned.is_empty() {
+            let mut table = Table::new();
+            table.load_preset(ASCII_MARKDOWN).set_header(["duty", "token", "member", "from", "held"]);
+            for row in &self.owned {
+                let held = row.until.map(|until| format!("{:.3} s", (until - row.from) as f64 / SEC as f64));
+                table.add_row([
+                    row.duty.clone(),
+                    row.token.to_string(),
+                    row.member.clone(),
+                    format!("+{:.3} s", row.from.saturating_sub(start) as f64 / SEC as f64),
+                    held.unwrap_or_else(|| "not told to be over".into()),
+                ]);
+            }
+            let _ = writeln!(out, "\nWho owned what:\n{table}");
+        }
         for spread in &self.spreads {
             let _ = writeln!(out, "\nSpread of {}, over the managers asked:", spread.change);
             for (bin, count) in spread.bins() {
--- a/src/audit/store.rs
+++ b/src/audit/store.rs
@@ -62,6 +62,16 @@
         /// How many, this number the last of them.
         count: u64,
     },
+    /// The manager owns a duty from now on: its name stands as the request.
+    Own {
+        /// The lease's token.
+        token: u64,
+    },
+    /// It does not any more.
+    Disown {
+        /// The lease's token.
+        token: u64,
+    },
 }
 
 impl From<&What> for Told {
@@ -74,6 +84,8 @@
             What::Fail => Told::Fail,
             What::Act => Told::Act,
             What::Lost(count) => Told::Lost { count: *count },
+            What::Own(token) => Told::Own { token: *token },
+            What::Disown(token) => Told::Disown { token: *token },
         }
     }
 }
--- a/src/bin/yokelift-kit/main.rs
+++ b/src/bin/yokelift-kit/main.rs
@@ -12,7 +12,7 @@
 use yokelift::audit::Place;
 use yokelift::audit::report::report;
 use yokelift::kit::emulator::Figures;
-use yokelift::kit::{audit, emulator, plot, script};
+use yokelift::kit::{audit, emulator, plot, script, soundings};
 use yokelift::membership::Timing;
 use yokelift::membership::file::Fleet;
 use yokelift::{deploy, net};
@@ -55,6 +55,25 @@
         #[arg(long)]
         json: bool,
     },
+    /// Counts the probes of engines over emulated fleets, without owners and with one owner an engine.
+    #[command(after_help = "Example:\n  yokelift-kit soundings --managers 100,300 --engines 80")]
+    Soundings {
+        /// The sizes of the fleets.
+        #[arg(long, value_delimiter = ',', default_values_t = [100usize, 300])]
+        managers: Vec<usize>,
+        /// Engines.
+        #[arg(long, default_value_t = 80)]
+        engines: u64,
+        /// How often a second each manager wants to hear of some engine.
+        #[arg(long, default_value_t = 20.0)]
+        wants: f64,
+        /// The same seed gives the same figures.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The figures as one JSON list.
+        #[arg(long)]
+        json: bool,
+    },
     /// Measures fleets of managers emulated in this process: detection, spread and traffic by their size.
     #[command(
         after_help = "Example:\n  yokelift-kit emulate --members 10,100,300 --svg docs/fleet-scale.svg"
@@ -113,6 +132,23 @@
             }
             if report.missing.is_empty() { Ok(()) } else { Err(report.missing) }
         }
+        What::Soundings { managers, engines, wants, seed, json } => {
+            if managers.iter().any(|n| !(6..=1_000).contains(n))
+                || engines == 0
+                || !(0.01..=1e4).contains(&wants)
+            {
+                return Err(one(
+                    "--managers from 6 to 1000, --engines above 0, --wants from 0.01 to 10000".into()
+                ));
+            }
+            let figures = soundings::compare(&managers, engines, wants, seed);
+            if json {
+                print(&(serde_json::to_string(&figures).map_err(|e| one(e.to_string()))? + "\n"));
+            } else {
+                print(&format!("{}\n", soundings::table(&figures)));
+            }
+            Ok(())
+        }
         What::Emulate { members, stops, seed, fleet, svg, json } => {
             if members.iter().any(|n| !(3..=1_000).contains(n)) {
                 return Err(one("--members: from 3 to 1000".into()));
--- /dev/null
+++ b/src/duties/mod.rs
@@ -0,0 +1,401 @@
+//! One owner at a time for work that is done for the whole fleet: leases with fencing tokens, granted by a majority of a
+//! few voters that operators name. Pure: events with the time in, messages and news out.
+//!
+//! A candidate asks all voters for a duty under a token higher than any it has seen. A voter grants a duty to one holder
+//! at a time, under ever higher tokens, for a term by its own monotonic clock. The candidate owns the duty once more than
+//! half of all voters have granted it, until the term is over that began, by its own clock, when it *asked*, less a bound
+//! for how far clocks drift apart: so its lease ends before any voter that granted it may grant another.
+//!
+//! What an owner hands out carries its token. Whoever takes it drops what comes under a lower token than the highest
+//! seen for that duty: an owner that was stopped past its term and goes on does no harm.
+pub mod probing;
+pub mod wire;
+
+use crate::clock::{MS, Micros};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A named piece of fleet work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Duty {
+    /// Asking an engine for its load.
+    Probe(u64),
+}
+
+impl fmt::Display for Duty {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Duty::Probe(engine) => write!(f, "probe:s-{engine:08x}"),
+        }
+    }
+}
+
+/// Grows with each owner of a duty.
+pub type Token = u64;
+
+/// A process that may hold a lease: a restart under the same name is another one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Holder {
+    /// The manager.
+    pub name: String,
+    /// Its life.
+    pub life: u64,
+}
+
+/// The bounds of leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Terms {
+    /// A lease stands so long unless it is renewed. All voters and candidates have to be given the same.
+    pub term_ms: u64,
+    /// Clocks of two managers drift apart by at most so many thousandths.
+    pub drift: u64,
+    /// A lease is given up this much before its end: what was ordered just before has gone out by then.
+    pub margin_ms: u64,
+    /// An owner that has not answered by then is as none. The module waits 30 ms for its probes.
+    pub ask_ms: u64,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { term_ms: 3_000, drift: 20, margin_ms: 100, ask_ms: 20 }
+    }
+}
+
+impl Terms {
+    /// Whether a lease can hold at all under these bounds.
+    pub fn check(&self) -> Result<(), String> {
+        let left = self.term_ms.saturating_sub(self.term_ms * self.drift.min(1_000) / 1_000 + self.margin_ms);
+        if self.term_ms == 0 || self.term_ms > 600_000 || left < self.term_ms / 2 {
+            return Err("fleet: duties: drift and margin_ms have to leave half of term_ms".into());
+        }
+        Ok(())
+    }
+
+    /// How long an owner may act, counted from when it asked.
+    pub fn valid(&self) -> Micros {
+        (self.term_ms - self.term_ms * self.drift / 1_000 - self.margin_ms) * MS
+    }
+
+    /// How long a voter holds to a grant, counted from when it gave it.
+    pub fn granted(&self) -> Micros {
+        self.term_ms * MS
+    }
+}
+
+/// The members in the order in which they are to own a duty: rendezvous hashing, so that one that comes or goes moves
+/// only its own duties.
+pub fn ranked<'a>(duty: Duty, members: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let weight = |name: &str| xxh3_64(format!("{duty} {name}").as_bytes());
+    let mut all: Vec<(u64, &str)> = members.map(|name| (weight(name), name)).collect();
+    all.sort_unstable_by(|a, b| b.cmp(a));
+    all.into_iter().map(|(_, name)| name).collect()
+}
+
+/// What a voter says to a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Vote {
+    /// The lease is the holder's, from now on for a term.
+    Granted,
+    /// It is not, and this is the highest token that the voter has granted.
+    Refused(Token),
+}
+
+#[derive(Clone, Debug)]
+struct Grant {
+    holder: Holder,
+    token: Token,
+    until: Micros,
+}
+
+/// The voter in a manager.
+#[derive(Clone, Debug)]
+pub struct Voter {
+    terms: Terms,
+    /// What an earlier life of this voter granted may stand until then.
+    silent_until: Micros,
+    grants: BTreeMap<Duty, Grant>,
+    /// The highest token granted, kept over restarts.
+    highest: BTreeMap<Duty, Token>,
+}
+
+impl Voter {
+    /// A voter that starts now, with the highest tokens that its earlier lives granted as far as they were kept. It
+    /// grants nothing for a term: an earlier life may have granted just before it ended.
+    pub fn new(terms: Terms, kept: BTreeMap<Duty, Token>, now: Micros) -> Voter {
+        Voter { terms, silent_until: now + terms.granted(), grants: BTreeMap::new(), highest: kept }
+    }
+
+    /// The highest tokens granted: to be kept before a grant under a new one is told.
+    pub fn highest(&self) -> &BTreeMap<Duty, Token> {
+        &self.highest
+    }
+
+    /// A candidate asks for a duty under a token, or its owner asks to renew. The vote, and whether the highest tokens
+    /// have changed by it.
+    pub fn request(&mut self, now: Micros, duty: Duty, holder: &Holder, token: Token) -> (Vote, bool) {
+        let highest = self.highest.get(&duty).copied().unwrap_or(0);
+        let live = self.grants.get(&duty).filter(|g| now < g.until);
+        let until = now + self.terms.granted();
+        match live {
+            // Guards the term: a renewal lengthens the grant of this very lease, never one that is over.
+            Some(grant) if grant.holder == *holder && grant.token == token => {}
+            Some(grant) if grant.holder == *holder && token > highest => {}
+            Some(_) => return (Vote::Refused(highest), false),
+            None if now < self.silent_until || token <= highest => return (Vote::Refused(highest), false),
+            None => {}
+        }
+        self.grants.insert(duty, Grant { holder: holder.clone(), token, until });
+        self.highest.insert(duty, token.max(highest));
+        (Vote::Granted, token > highest)
+    }
+
+    /// An owner gives a lease up before its end.
+    pub fn release(&mut self, duty: Duty, holder: &Holder, token: Token) {
+        if self.grants.get(&duty).is_some_and(|g| g.holder == *holder && g.token == token) {
+            self.grants.remove(&duty);
+        }
+    }
+}
+
+/// The highest token seen for each duty. Guards against what a former owner still hands out.
+#[derive(Clone, Debug, Default)]
+pub struct Fence {
+    highest: BTreeMap<Duty, Token>,
+    /// What was dropped for its token.
+    pub dropped: u64,
+}
+
+impl Fence {
+    /// Whether what comes under that token counts.
+    pub fn accepts(&mut self, duty: Duty, token: Token) -> bool {
+        let highest = self.highest.entry(duty).or_insert(0);
+        if token < *highest {
+            self.dropped += 1;
+            return false;
+        }
+        *highest = token;
+        true
+    }
+
+    /// A token was seen in use.
+    pub fn saw(&mut self, duty: Duty, token: Token) {
+        let highest = self.highest.entry(duty).or_insert(0);
+        *highest = (*highest).max(token);
+    }
+
+    /// All that was seen.
+    pub fn seen(&self) -> impl Iterator<Item = (Duty, Token)> {
+        self.highest.iter().map(|(duty, token)| (*duty, *token))
+    }
+
+    /// The highest token seen.
+    pub fn highest(&self, duty: Duty) -> Token {
+        self.highest.get(&duty).copied().unwrap_or(0)
+    }
+}
+
+/// A request or a renewal that is out to the voters.
+#[derive(Clone, Debug)]
+struct Round {
+    /// Votes on it carry this number. Guards the term: a late vote on an earlier request under the same token would
+    /// count for a term that this voter never granted.
+    number: u32,
+    asked: Micros,
+    token: Token,
+    granted: BTreeSet<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lease {
+    /// Held under that token until then, by this manager's clock.
+    held: Option<(Token, Micros)>,
+    round: Option<Round>,
+    /// Nobody needs it after that.
+    wanted_until: Micros,
+    /// Not asked for again before that.
+    not_before: Micros,
+    /// Since when it is another's to own.
+    passes_since: Option<Micros>,
+}
+
+/// What a candidate wants done, or tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Ask that voter for the duty under the token; the vote has to carry the number.
+    Ask(String, Duty, Token, u32),
+    /// Tell that voter that the lease is given up.
+    Release(String, Duty, Token),
+    /// The duty is owned from now on.
+    Owned(Duty, Token),
+    /// It is not any more.
+    Over(Duty, Token),
+}
+
+/// The candidate in a manager, and the owner of what it holds.
+pub struct Candidate {
+    me: Holder,
+    voters: Vec<String>,
+    terms: Terms,
+    leases: BTreeMap<Duty, Lease>,
+    rounds: u32,
+    random: Pcg32,
+}
+
+impl Candidate {
+    /// A candidate that holds nothing.
+    pub fn new(me: Holder, voters: Vec<String>, terms: Terms, seed: u64) -> Candidate {
+        Candidate {
+            me,
+            voters,
+            terms,
+            leases: BTreeMap::new(),
+            rounds: 0,
+            random: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    /// Who it is to the voters.
+    pub fn me(&self) -> &Holder {
+        &self.me
+    }
+
+    /// The token under which it owns a duty now. To be asked before every action for the duty, and again after every
+    /// wait.
+    pub fn owns(&self, duty: Duty, now: Micros) -> Option<Token> {
+        let (token, until) = self.leases.get(&duty)?.held?;
+        (now < until).then_some(token)
+    }
+
+    /// All that it owns, with what is left of each term.
+    pub fn owned(&self, now: Micros) -> impl Iterator<Item = (Duty, Token, Micros)> {
+        let held = self.leases.iter().filter_map(|(duty, lease)| Some((*duty, lease.held?)));
+        held.filter(move |(_, (_, until))| now < *until)
+            .map(move |(d, (token, until))| (d, token, until - now))
+    }
+
+    /// The duty is this manager's to do, and somebody needs it: for two terms more it is asked for and renewed.
+    pub fn want(&mut self, duty: Duty, fence: &Fence, now: Micros, out: &mut Vec<Action>) {
+        let lease = self.leases.entry(duty).or_default();
+        lease.wanted_until = now + 2 * self.terms.granted();
+        if lease.held.is_none_or(|(_, until)| now >= until)
+            && lease.round.is_none()
+            && now >= lease.not_before
+        {
+            self.ask(duty, fence.highest(duty) + 1, now, out);
+        }
+    }
+
+    fn ask(&mut self, duty: Duty, token: Token, now: Micros, out: &mut Vec<Action>) {
+        self.rounds = self.rounds.wrapping_add(1);
+        let lease = self.leases.entry(duty).or_default();
+        lease.round = Some(Round { number: self.rounds, asked: now, token, granted: BTreeSet::new() });
+        // Candidates that ask in step would split the votes again and again.
+        let term = self.terms.granted();
+        lease.not_before = now + term / 8 + u64::from(self.random.next_u32()) % (term / 8).max(1);
+        out.extend(self.voters.iter().map(|voter| Action::Ask(voter.clone(), duty, token, self.rounds)));
+    }
+
+    /// A voter's vote on the request of that number.
+    pub fn vote(
+        &mut self,
+        voter: &str,
+        (duty, number): (Duty, u32),
+        vote: &Vote,
+        fence: &mut Fence,
+        now: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        if let Vote::Refused(highest) = vote {
+            fence.saw(duty, *highest);
+        }
+        let Some(lease) = self.leases.get_mut(&duty) else { return };
+        let Some(round) = lease.round.as_mut().filter(|r| r.number == number) else { return };
+        if *vote != Vote::Granted || !self.voters.iter().any(|v| v == voter) {
+            return;
+        }
+        round.granted.insert(voter.to_owned());
+        if 2 * round.granted.len() <= self.voters.len() {
+            return;
+        }
+        let (token, until) = (round.token, round.asked + self.terms.valid());
+        lease.round = None;
+        if now >= until {
+            return;
+        }
+        let was = lease.held.replace((token, until));
+        fence.saw(duty, token);
+        if was.is_none_or(|(held, _)| held != token) {
+            out.push(Action::Owned(duty, token));
+        }
+    }
+
+    /// Time passes: leases end, are renewed while they are needed and this manager is the one to own them, or are given
+    /// up.
+    pub fn tick(&mut self, mine: impl Fn(Duty) -> bool, now: Micros, out: &mut Vec<Action>) {
+        let renew_before = self.terms.valid() - self.terms.granted() / 3;
+        let (mut renew, mut give_up) = (Vec::new(), Vec::new());
+        for (duty, lease) in &mut self.leases {
+            if let Some((token, _)) = lease.held.filter(|(_, until)| now >= *until) {
+                lease.held = None;
+                out.push(Action::Over(*duty, token));
+            }
+            if lease.round.as_ref().is_some_and(|r| now >= r.asked + self.terms.granted() / 4) {
+                // Too few votes came: those that did not may have been lost, or come too late to count for much.
+                lease.round = None;
+            }
+            // Guards against a member that comes and goes: the duty passes once it has been the other's for a term.
+            lease.passes_since = if mine(*duty) { None } else { lease.passes_since.or(Some(now)) };
+            let passes = lease.passes_since.is_some_and(|since| now >= since + self.terms.granted());
+            match lease.held {
+                Some((token, _)) if now >= lease.wanted_until || passes => give_up.push((*duty, token)),
+                Some((token, until))
+                    if lease.round.is_none() && now >= lease.not_before && now + renew_before >= until =>
+                {
+                    renew.push((*duty, token));
+                }
+                _ => {}
+            }
+        }
+        renew.into_iter().for_each(|(duty, token)| self.ask(duty, token, now, out));
+        give_up.into_iter().for_each(|(duty, token)| self.give_up(duty, token, out));
+        self.leases
+            .retain(|_, l| l.held.is_some() || l.round.is_some() || now < l.wanted_until.max(l.not_before));
+    }
+
+    fn give_up(&mut self, duty: Duty, token: Token, out: &mut Vec<Action>) {
+        self.leases.remove(&duty);
+        out.push(Action::Over(duty, token));
+        out.extend(self.voters.iter().map(|voter| Action::Release(voter.clone(), duty, token)));
+    }
+
+    /// The manager drains or ends: everything is given up at once.
+    pub fn release_all(&mut self, out: &mut Vec<Action>) {
+        let held: Vec<_> = self.leases.iter().filter_map(|(d, l)| Some((*d, l.held?.0))).collect();
+        held.into_iter().for_each(|(duty, token)| self.give_up(duty, token, out));
+        self.leases.clear();
+    }
+
+    /// When [`tick`](Self::tick) has something to do next.
+    pub fn wakes(&self) -> Option<Micros> {
+        let renew_before = self.terms.valid() - self.terms.granted() / 3;
+        let next = |lease: &Lease| {
+            let round = lease.round.as_ref().map(|r| r.asked + self.terms.granted() / 4);
+            let held = lease.held.map(|(_, until)| match &lease.round {
+                Some(_) => until,
+                None => (until - renew_before).max(lease.not_before).min(until),
+            });
+            let idle = (round.is_none() && held.is_none()).then(|| lease.wanted_until.max(lease.not_before));
+            round.into_iter().chain(held).chain(idle).min()
+        };
+        self.leases.values().filter_map(next).min()
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/inside/duties.rs"]
+mod tests;
--- a/src/front/console.rs
+++ b/src/front/console.rs
@@ -21,6 +21,8 @@
     Undrain,
     /// `GET /fleet`: the members of the fleet as this manager sees them, one JSON object a line.
     Fleet,
+    /// `GET /duties`: who owns which fleet work, as this manager sees it, one JSON object a line.
+    Duties,
     /// `GET /audit?since=LIFE.NUMBER&most=N`: what this manager decided after that record, and on what.
     Audit(Place, usize),
 }
@@ -42,12 +44,13 @@
     Query,
 }
 
-const CALLS: [(&str, &str, Call); 6] = [
+const CALLS: [(&str, &str, Call); 7] = [
     ("GET", "/ready", Call::Ready),
     ("GET", "/metrics", Call::Metrics),
     ("POST", "/drain", Call::Drain),
     ("POST", "/undrain", Call::Undrain),
     ("GET", "/fleet", Call::Fleet),
+    ("GET", "/duties", Call::Duties),
     ("GET", "/audit", Call::Audit(Place { life: 0, number: 0 }, PAGE)),
 ];
 
--- a/src/kit/engines.rs
+++ b/src/kit/engines.rs
@@ -181,6 +181,7 @@
             }
             ["forget", id] => drop(lines.borrow_mut().sheets.remove(id)),
             ["ping" | "top", tag] => {
+                state.book.probed(&state.name);
                 let text = format!("{tag} FIT meter=queue:0;util:0.25 0\r\n\r\n");
                 say(stream, text.as_bytes()).await;
             }
--- a/src/kit/fleet.rs
+++ b/src/kit/fleet.rs
@@ -28,20 +28,50 @@
 /// A fifth of a second a period: a stopped manager is found dead in about two seconds.
 const TIMING: &str = "period_ms = 200\nprobe_ms = 80\nindirect = 3\nsuspicion_periods = 3\ngrace_ms = 1500\n";
 
-/// The stand-ins: one coordinator a manager, so that one manager alone can miss what others hear.
+/// The stand-ins: one coordinator a manager, so that one manager alone can miss what others hear; and each engine at an
+/// address of its own for each manager, so that the book tells who came.
 pub struct World {
     /// By the number of the manager.
     pub coordinators: Vec<Coordinator>,
-    /// The engines, in the order of their ids, which begin at 1.
-    pub engines: Vec<Engine>,
+    /// By the number of the manager, in the order of the engines' ids, which begin at 1.
+    pub engines: Vec<Vec<Engine>>,
     /// What the engines saw.
     pub book: Book,
 }
 
 impl World {
-    /// An engine of the list in that state.
-    pub fn listed(&self, engine: usize, readiness: Readiness) -> Listed {
-        listed(engine as u32 + 1, self.engines[engine].addr, readiness, (0, 0, 0), 1.0, 0)
+    fn listed(&self, member: usize, engine: usize, readiness: Readiness) -> Listed {
+        listed(engine as u32 + 1, self.engines[member][engine].addr, readiness, (0, 0, 0), 1.0, 0)
+    }
+
+    /// Tells some managers of an engine's state.
+    pub fn tell(&self, members: std::ops::Range<usize>, engine: usize, readiness: Readiness) {
+        members.for_each(|i| self.coordinators[i].tell(false, &[self.listed(i, engine, readiness)]));
+    }
+
+    /// How often a manager asked an engine for its load.
+    pub fn probes(&self, member: usize, engine: usize) -> usize {
+        self.book.probes(&at(member, engine))
+    }
+}
+
+/// What the book calls an engine as a manager sees it.
+fn at(member: usize, engine: usize) -> String {
+    format!("m{member}/e{engine}")
+}
+
+/// What the managers of a fleet are started with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How many managers the settings tell of: of many, each has a share under one query, and asks for loads.
+    pub managers: usize,
+    /// Further parts of the fleet file.
+    pub more: String,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { managers: MEMBERS, more: "[audit]\n".into() }
     }
 }
 
@@ -59,7 +89,8 @@
     /// Where clients connect.
     listens: Vec<SocketAddr>,
     coordinators: Vec<SocketAddr>,
-    known: Value,
+    known: Vec<Value>,
+    options: Options,
     tasks: Sender<Task>,
     children: Vec<Option<Child>>,
     /// Their files and logs.
@@ -72,15 +103,18 @@
 }
 
 /// Runs the stand-ins on a thread of their own until nobody can ask them for anything any more.
-fn stand_ins(tasks: Receiver<Task>, told: std::sync::mpsc::Sender<(Vec<SocketAddr>, Value)>) {
+fn stand_ins(tasks: Receiver<Task>, told: std::sync::mpsc::Sender<(Vec<SocketAddr>, Vec<Value>)>) {
     let executor: Executor = Rc::new(LocalExecutor::new());
     let book = Book::default();
-    let engines = (0..ENGINES).map(|i| Engine::start(&executor, &format!("e{i}"), false, book.clone()));
-    let engines = engines.collect();
+    let engine = |i, e| Engine::start(&executor, &at(i, e), false, book.clone());
+    let engines = (0..MEMBERS).map(|i| (0..ENGINES).map(|e| engine(i, e)).collect()).collect();
     let coordinators = (0..MEMBERS).map(|_| Coordinator::start(&executor)).collect();
     let world = World { coordinators, engines, book };
-    let all: Vec<Listed> = (0..ENGINES).map(|i| world.listed(i, Readiness::Ready)).collect();
-    let _ = told.send((world.coordinators.iter().map(|c| c.addr).collect(), known(&all, &ZONES, &KINDS)));
+    let lists = (0..MEMBERS).map(|i| {
+        let all: Vec<Listed> = (0..ENGINES).map(|e| world.listed(i, e, Readiness::Ready)).collect();
+        known(&all, &ZONES, &KINDS)
+    });
+    let _ = told.send((world.coordinators.iter().map(|c| c.addr).collect(), lists.collect()));
     block_on(executor.run(async {
         while let Ok(task) = tasks.recv().await {
             task(&world);
@@ -91,6 +125,11 @@
 impl Fleet {
     /// Starts the stand-ins and all managers, and waits until each is ready.
     pub fn start(program: &Path, tag: &str, seed: u64) -> Fleet {
+        Fleet::with(program, tag, seed, Options::default())
+    }
+
+    /// The same, with other options.
+    pub fn with(program: &Path, tag: &str, seed: u64, options: Options) -> Fleet {
         let backs: Vec<SocketAddr> = (0..MEMBERS).map(|_| free_udp()).collect();
         let relay = Relay::new(backs.clone(), seed).expect("the relay");
         let (tasks, work) = bounded(16);
@@ -106,6 +145,7 @@
             listens: (0..MEMBERS).map(|_| free_addr()).collect(),
             coordinators,
             known,
+            options,
             tasks,
             children: (0..MEMBERS).map(|_| None).collect(),
             folder: Folder::new().expect("a folder"),
@@ -154,9 +194,9 @@
 
     /// A configuration whose settings differ from the first by the tenants' shares.
     fn config(&self, i: usize, shares: (f64, f64)) -> String {
-        let mut config = daemon::config(self.listens[i], self.coordinators[i], &self.known, 256);
+        let mut config = daemon::config(self.listens[i], self.coordinators[i], &self.known[i], 256);
         config["name"] = json!(self.name(i));
-        config["settings"]["peers_total"] = json!(MEMBERS);
+        config["settings"]["peers_total"] = json!(self.options.managers);
         config["settings"]["orgs"][0]["share"] = json!(shares.0);
         config["settings"]["orgs"][1]["share"] = json!(shares.1);
         config.to_string()
@@ -179,9 +219,10 @@
     fn spawn(&self, i: usize) -> Child {
         let name = self.name(i);
         let path = self.folder.path(&format!("{name}.json"));
+        let more = &self.options.more;
         let seeds = format!("[\"{}\"]", self.relay.fronts[0]);
         let fleet = format!(
-            "bind = \"{}\"\nadvertise = \"{}\"\nseeds = {seeds}\n[timing]\n{TIMING}[audit]\n",
+            "bind = \"{}\"\nadvertise = \"{}\"\nseeds = {seeds}\n[timing]\n{TIMING}{more}",
             self.backs[i], self.relay.fronts[i]
         );
         let fleet = self.folder.put(&format!("{name}.toml"), &fleet).expect("the fleet file");
--- a/src/kit/mod.rs
+++ b/src/kit/mod.rs
@@ -11,6 +11,7 @@
 pub mod plot;
 pub mod relay;
 pub mod script;
+pub mod soundings;
 
 use crate::clock::{self, Micros};
 use async_executor::LocalExecutor;
@@ -93,6 +94,7 @@
 pub struct Book {
     runs: Rc<RefCell<Vec<Run>>>,
     drains: Rc<RefCell<Vec<Drain>>>,
+    probes: Rc<RefCell<Vec<(String, Micros)>>>,
 }
 
 /// The drain rule's time, with the extra that sockets have.
@@ -126,6 +128,16 @@
         self.runs.borrow().iter().filter(|r| r.query == query).cloned().collect()
     }
 
+    /// An engine was asked for its load.
+    pub fn probed(&self, engine: &str) {
+        self.probes.borrow_mut().push((engine.to_owned(), clock::turn()));
+    }
+
+    /// How often that engine was asked for its load.
+    pub fn probes(&self, engine: &str) -> usize {
+        self.probes.borrow().iter().filter(|(name, _)| name == engine).count()
+    }
+
     /// The daemon was told that an engine drains or is gone.
     pub fn drained(&self, engine: &str) {
         let drain = Drain { engine: engine.to_owned(), told: clock::turn(), resumed: None };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod decide;
 pub mod deploy;
 pub mod directory;
+pub mod duties;
 pub mod engine;
 pub mod front;
 pub mod generations;
--- a/src/membership/file.rs
+++ b/src/membership/file.rs
@@ -2,9 +2,32 @@
 //! protocol's timings. TOML; unknown keys are refused.
 use super::Timing;
 use crate::audit::Bounds;
+use crate::duties::Terms;
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+/// One owner at a time for fleet work.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// The managers that grant leases, by their names: the same on all managers, an odd number.
+    pub voters: Vec<String>,
+    /// The bounds of leases: the same on all managers.
+    #[serde(default)]
+    pub terms: Terms,
+}
+
+impl Duties {
+    fn check(&self) -> Result<(), String> {
+        let all: BTreeSet<&String> = self.voters.iter().collect();
+        if self.voters.is_empty() || self.voters.len() > 15 || all.len() < self.voters.len() {
+            return Err("fleet: duties: voters have to be 1 to 15 managers, each named once".into());
+        }
+        self.terms.check()
+    }
+}
+
 /// What the file says.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,6 +47,8 @@
     pub timing: Timing,
     /// The bounds on the audit's files; without it no audit is kept.
     pub audit: Option<Bounds>,
+    /// Leases; without them each manager does all fleet work itself.
+    pub duties: Option<Duties>,
 }
 
 fn port() -> u16 {
@@ -36,6 +61,7 @@
         let fleet: Fleet = toml::from_str(text).map_err(|e| format!("fleet: {}", e.message()))?;
         fleet.timing.check()?;
         fleet.audit.iter().try_for_each(Bounds::check)?;
+        fleet.duties.iter().try_for_each(Duties::check)?;
         if [fleet.bind, fleet.advertise].iter().flatten().any(|b| !b.is_ipv4())
             || fleet.seeds.iter().any(|s| !s.is_ipv4())
         {
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -1,6 +1,8 @@
 //! The datagrams between managers, in postcard behind a tag of the format. What can't be read is dropped and counted
 //! by the caller; nothing here panics on what comes in.
 use super::{Message, Rumour};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// The first bytes of each datagram: the protocol and the version of its format. Another build's format is dropped.
 pub const TAG: [u8; 4] = *b"YLM2";
@@ -18,20 +20,30 @@
 
 /// The datagram of a message.
 pub fn encode(message: &Message) -> Vec<u8> {
-    let mut out = TAG.to_vec();
-    // A message of the types above always serializes.
-    out.extend(postcard::to_allocvec(message).unwrap_or_default());
+    pack(TAG, message)
+}
+
+/// A value behind a tag.
+pub fn pack<T: Serialize>(tag: [u8; 4], value: &T) -> Vec<u8> {
+    let mut out = tag.to_vec();
+    // What managers say to each other always serializes.
+    out.extend(postcard::to_allocvec(value).unwrap_or_default());
     out
 }
 
 /// The message of a datagram no longer than `most`.
 pub fn decode(datagram: &[u8], most: usize) -> Result<Message, Unread> {
+    unpack(TAG, datagram, most)
+}
+
+/// The value behind that tag in a datagram no longer than `most`.
+pub fn unpack<T: DeserializeOwned>(tag: [u8; 4], datagram: &[u8], most: usize) -> Result<T, Unread> {
     if datagram.len() > most {
         return Err(Unread::Oversized);
     }
-    let body = datagram.strip_prefix(&TAG).ok_or(Unread::Foreign)?;
-    match postcard::take_from_bytes::<Message>(body) {
-        Ok((message, [])) => Ok(message),
+    let body = datagram.strip_prefix(&tag).ok_or(Unread::Foreign)?;
+    match postcard::take_from_bytes::<T>(body) {
+        Ok((value, [])) => Ok(value),
         _ => Err(Unread::Spoilt),
     }
 }
--- a/src/net/audit.rs
+++ b/src/net/audit.rs
@@ -1,7 +1,7 @@
 //! The actors of the audit: the core's side, which never waits, and the thread that owns the files.
 use super::Shared;
 use crate::audit::store::{Page, Store};
-use crate::audit::{Acting, Batch, Bounds, Decision, Place, Trail, Under};
+use crate::audit::{Acting, Batch, Bounds, Decision, Place, Trail, Under, What};
 use crate::clock::{self, Micros};
 use crate::log;
 use async_channel::{Receiver, Sender, bounded};
@@ -35,7 +35,12 @@
 /// Where the files are: `$TMPDIR`, which an operator has to have set.
 pub fn folder() -> Result<PathBuf, String> {
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
-    folder.ok_or_else(|| "fleet: the audit keeps its files in TMPDIR, which is not set".into())
+    folder.ok_or_else(|| "fleet: the audit and the votes are kept in TMPDIR, which is not set".into())
+}
+
+/// A file there.
+pub fn file(name: &str) -> Result<PathBuf, String> {
+    folder().map(|folder| folder.join(name))
 }
 
 /// Starts the files' thread, and hands out the core's side.
@@ -94,6 +99,12 @@
         self.trail.acts_on(now, acting);
     }
 
+    /// A duty came to this manager, or went from it.
+    pub fn owns(&mut self, now: Micros, duty: &str, token: u64, owned: bool) {
+        let what = if owned { What::Own(token) } else { What::Disown(token) };
+        self.trail.note(now, &Decision { what, class: "".into(), request: duty.into() });
+    }
+
     fn send(&mut self, batch: Batch) {
         if let Err(Job::Keep(batch)) = self.jobs.try_send(Job::Keep(batch)).map_err(|e| e.into_inner()) {
             self.trail.gave_up(clock::now(), &batch);
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -130,6 +130,10 @@
             }
         }
         Call::Audit(since, most) => audit(shared, since, most).await,
+        Call::Duties => match shared.owned.borrow().as_ref() {
+            Some(view) => console::answer(200, None, view),
+            None => console::answer(404, None, "no duties are shared out: no fleet file with [duties]\n"),
+        },
         Call::Fleet => match shared.fleet.borrow().as_ref() {
             Some(view) => console::answer(200, None, &view.lines()),
             None => console::answer(404, None, "no fleet membership: started without a fleet file\n"),
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,10 +1,13 @@
 //! The actor of the module: takes in what all others report, and hands out what the core orders. It never
 //! waits for any of them.
 use super::audit::Keeper;
+use super::duties::Word;
 use super::engine::ToEngine;
 use super::{Shared, until};
 use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
+use crate::duties::probing::Sounding;
+use crate::duties::{Duty, Token};
 use crate::generations::Class;
 use crate::interface::{
     ClassId, EngineEntry, EngineId, ListKind, LoadReport, OutcomeKind, Settings, TenantSpec,
@@ -68,6 +71,12 @@
     Part(f64),
     /// So many managers share the warm engines.
     Sharers(u32),
+    /// Ask an engine for its load: for the module, or for other managers.
+    Probe(u64, bool),
+    /// Another manager asked an engine that the module wants to hear of.
+    Sounded(u64, Sounding),
+    /// A duty came to this manager under a token, or went.
+    Owns(Duty, Token, bool),
     /// End once all is answered.
     Stop,
 }
@@ -83,6 +92,10 @@
     acting: Acting,
     /// The audit, where it is kept.
     audit: Option<Keeper>,
+    /// To the fleet's actor, where duties are shared out.
+    duties: Option<Sender<Word>>,
+    /// Probes that are out for other managers: the module hears nothing of them.
+    for_others: HashMap<EngineId, u32>,
 }
 
 /// Runs until it was asked to stop and all is answered.
@@ -93,7 +106,18 @@
     audit: Option<Keeper>,
 ) -> Manager {
     let (clients, engines, acting) = (HashMap::new(), HashMap::new(), shared.acting.get());
-    let mut core = Core { manager, clients, engines, orders: Vec::new(), ended: false, acting, audit };
+    let (duties, for_others) = (None, HashMap::new());
+    let mut core = Core {
+        manager,
+        clients,
+        engines,
+        orders: Vec::new(),
+        ended: false,
+        acting,
+        audit,
+        duties,
+        for_others,
+    };
     core.manager.audit(core.audit.is_some());
     let mut figures_at = 0;
     loop {
@@ -109,6 +133,9 @@
         });
         let first = message.await;
         let now = clock::turn();
+        if core.duties.is_none() {
+            core.duties = shared.duties.borrow().clone();
+        }
         let more = std::iter::from_fn(|| mailbox.try_recv().ok()).take(TURN_MOST);
         for input in first.into_iter().chain(more) {
             core.input(now, input);
@@ -175,7 +202,13 @@
             }
             Input::Ended(ended) => manager.ended(now, ended, orders),
             Input::Probed { engine, kind, latency, load } => {
-                manager.probed(now, engine, kind, latency, load, orders);
+                if let Some(duties) = &self.duties {
+                    let _ = duties.try_send(Word::Answered(engine.0, Sounding::new(kind, latency, &load)));
+                }
+                match self.for_others.get_mut(&engine).filter(|n| **n > 0) {
+                    Some(asked) => *asked -= 1,
+                    None => manager.probed(now, engine, kind, latency, load, orders),
+                }
             }
             Input::List(kind, entries, actors, _) => {
                 self.engines.retain(|_, actor| !actor.is_closed());
@@ -188,6 +221,17 @@
             }
             Input::Tenants(tenants) => manager.tenants(&tenants),
             Input::Part(part) => manager.split(part),
+            Input::Probe(engine, for_others) => self.probe(now, EngineId(engine), for_others),
+            Input::Sounded(engine, sounding) => {
+                let (kind, load) = sounding.outcome();
+                manager.probed(now, EngineId(engine), kind, sounding.took, load, orders);
+            }
+            Input::Owns(duty, token, owned) => {
+                if let Some(audit) = &mut self.audit {
+                    audit.turn(now, &self.manager.decisions());
+                    audit.owns(now, &duty.to_string(), token, owned);
+                }
+            }
             Input::Sharers(managers) => manager.share_among(managers),
             Input::DirectoryRead => manager.counters.directory_readings += 1,
             Input::Reloaded(true) => manager.counters.reloads += 1,
@@ -225,9 +269,10 @@
                 }
             }
             Order::Probe(engine) => {
-                if !self.to_engine(engine, ToEngine::Probe) {
-                    let (kind, load) = (OutcomeKind::Moot, LoadReport::default());
-                    self.manager.probed(now, engine, kind, 0, load, &mut self.orders);
+                // Where duties are shared out, their owner asks; without room there it is done as without duties.
+                if self.duties.as_ref().is_none_or(|duties| duties.try_send(Word::Wanted(engine.0)).is_err())
+                {
+                    self.probe(now, engine, false);
                 }
             }
             Order::CloseIdle(engine) => drop(self.to_engine(engine, ToEngine::CloseIdle)),
@@ -243,6 +288,19 @@
         }
     }
 
+    fn probe(&mut self, now: Micros, engine: EngineId, for_others: bool) {
+        let asked = self.to_engine(engine, ToEngine::Probe);
+        match (for_others, asked) {
+            (true, true) => *self.for_others.entry(engine).or_default() += 1,
+            (false, false) => {
+                let (kind, load) = (OutcomeKind::Moot, LoadReport::default());
+                self.manager.probed(now, engine, kind, 0, load, &mut self.orders);
+            }
+            // Those that wait for an engine that is not there fall back by themselves.
+            (true, false) | (false, true) => {}
+        }
+    }
+
     fn to_engine(&self, engine: EngineId, order: ToEngine) -> bool {
         self.engines.get(&engine).is_some_and(|actor| actor.try_send(order).is_ok())
     }
--- /dev/null
+++ b/src/net/duties.rs
@@ -0,0 +1,331 @@
+//! What the membership's actor does for duties: the voter, the candidate and the prober of this manager on the fleet's
+//! socket, and what they put down for the second address. Started only with `[duties]` in the operator's fleet file.
+use super::Shared;
+use super::core::Input;
+use crate::clock::{MS, Micros};
+use crate::duties::probing::{Prober, Sounding, Step};
+use crate::duties::wire::{self, Letter};
+use crate::duties::{Action, Candidate, Duty, Fence, Holder, Token, Voter, ranked};
+use crate::log;
+use crate::membership::file::Duties;
+use crate::membership::{Health, Membership};
+use async_channel::{Receiver, Sender, bounded};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+/// Words of the core that wait; more are done as without duties.
+const MAILBOX: usize = 1_024;
+/// Votes that wait to be kept.
+const VOTES: usize = 64;
+/// Leases are looked after at least this often while there are any.
+const LOOK: Micros = 50 * MS;
+
+/// What the core tells.
+pub enum Word {
+    /// The module wants an engine's load.
+    Wanted(u64),
+    /// An engine that was asked has answered.
+    Answered(u64, Sounding),
+}
+
+/// A datagram to send.
+pub type Out = (SocketAddr, Vec<u8>);
+
+/// Votes under new tokens, on their way to the disk and then to the candidate.
+struct Keeper {
+    jobs: Sender<(BTreeMap<Duty, Token>, Out)>,
+}
+
+const CRC: crc::Crc<u32> = crc::Crc::<u32>::new(&crc::CRC_32_ISCSI);
+
+fn kept(path: &Path) -> BTreeMap<Duty, Token> {
+    let bytes = std::fs::read(path).unwrap_or_default();
+    postcard::from_bytes_crc32(&bytes, CRC.digest()).unwrap_or_default()
+}
+
+fn keep(path: &Path, highest: &BTreeMap<Duty, Token>) -> std::io::Result<()> {
+    let bytes = postcard::to_allocvec_crc32(highest, CRC.digest()).unwrap_or_default();
+    // Whole or not at all: a reader finds the old file or the new one.
+    let next = path.with_extension("next");
+    std::fs::write(&next, bytes)?;
+    std::fs::rename(next, path)
+}
+
+/// One row of `GET /duties`.
+#[derive(Serialize)]
+struct Row {
+    duty: String,
+    /// This manager if it owns the duty; else the one that should, as this manager sees the fleet.
+    member: String,
+    /// Whether this manager owns it.
+    owns: bool,
+    /// Its token, or the highest seen.
+    token: Token,
+    /// What is left of its term.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    left_ms: Option<u64>,
+}
+
+/// All of it.
+pub struct Desk {
+    voter: Option<Voter>,
+    candidate: Candidate,
+    fence: Fence,
+    prober: Prober,
+    keeper: Keeper,
+    words: Receiver<Word>,
+    module: Sender<Input>,
+    looked_at: Micros,
+}
+
+impl Desk {
+    /// Opens it, with the highest tokens that earlier lives of this voter granted. Votes that were kept go to `send`.
+    pub fn open(
+        shared: &Rc<Shared>,
+        me: Holder,
+        duties: &Duties,
+        module: Sender<Input>,
+        send: impl Fn(Out) + 'static,
+        now: Micros,
+    ) -> Result<Desk, String> {
+        let path: PathBuf =
+            super::audit::file(&format!("yokelift-duties-{}", super::handover::plain(&me.name)))?;
+        let (jobs, work) = bounded::<(BTreeMap<Duty, Token>, Out)>(VOTES);
+        let (done, votes) = bounded::<Out>(VOTES);
+        let voter = duties.voters.contains(&me.name).then(|| Voter::new(duties.terms, kept(&path), now));
+        let thread = std::thread::Builder::new().name("votes".into());
+        let run = move || {
+            while let Ok((highest, out)) = work.recv_blocking() {
+                // A vote that is not kept is not given: another life of this voter could give it once more.
+                match keep(&path, &highest) {
+                    Ok(()) => drop(done.try_send(out)),
+                    Err(e) => eprintln!("yokelift: the votes can't be kept in {}: {e}", path.display()),
+                }
+            }
+        };
+        thread.spawn(run).map_err(|e| format!("fleet: the votes' thread: {e}"))?;
+        shared.spawn(async move {
+            while let Ok(out) = votes.recv().await {
+                send(out);
+            }
+        });
+        let (sender, words) = bounded(MAILBOX);
+        *shared.duties.borrow_mut() = Some(sender);
+        let candidate = Candidate::new(me, duties.voters.clone(), duties.terms, now);
+        let (fence, prober) = (Fence::default(), Prober::new(duties.terms.ask_ms * MS));
+        Ok(Desk { voter, candidate, fence, prober, keeper: Keeper { jobs }, words, module, looked_at: 0 })
+    }
+
+    /// What the core tells.
+    pub fn words(&self) -> Receiver<Word> {
+        self.words.clone()
+    }
+
+    /// When it wants its next turn.
+    pub fn wakes(&self) -> Option<Micros> {
+        // Whose a duty is may change with the fleet at any time.
+        let held = self.candidate.wakes().map(|at| at.min(self.looked_at + LOOK));
+        held.into_iter().chain(self.prober.wakes()).min()
+    }
+
+    /// The member that should own a duty: the first by rank of those that live and serve, this one among them.
+    fn first<'a>(&'a self, fleet: &'a Membership, duty: Duty) -> &'a str {
+        let serves = |stage: &str| stage == "ready";
+        let others = fleet.members().values().map(|m| &m.rumour);
+        let live = others.filter(|r| matches!(r.health, Health::Alive | Health::Suspect));
+        let all = live.chain([fleet.me()]).filter(|r| serves(&r.versions.stage)).map(|r| &*r.name);
+        ranked(duty, all).first().copied().unwrap_or("")
+    }
+
+    /// The address of a member that is not this one.
+    fn addr(fleet: &Membership, name: &str) -> Option<SocketAddr> {
+        fleet.members().get(name).map(|m| m.rumour.addr)
+    }
+
+    /// A turn: a word of the core, if one came.
+    pub fn word(&mut self, word: Word, fleet: &Membership, now: Micros, out: &mut Vec<Out>) {
+        let (mut actions, mut steps) = (Vec::new(), Vec::new());
+        match word {
+            Word::Wanted(engine) => {
+                let first = self.first(fleet, Duty::Probe(engine)).to_owned();
+                if first.is_empty() {
+                    // Nobody serves, as far as is known: as without duties.
+                    steps.push(Step::Probe(engine));
+                    return self.carry_out(actions, steps, fleet, now, out);
+                }
+                let first = (first != fleet.me().name).then_some(&*first);
+                let own = (&mut self.candidate, &self.fence);
+                self.prober.wanted(engine, first, own, now, (&mut actions, &mut steps));
+            }
+            Word::Answered(engine, sounding) => {
+                self.prober.answered(engine, sounding, &self.candidate, now, &mut steps);
+            }
+        }
+        self.carry_out(actions, steps, fleet, now, out);
+    }
+
+    /// A letter of another manager.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        letter: Letter,
+        fleet: &Membership,
+        now: Micros,
+        out: &mut Vec<Out>,
+    ) {
+        let (mut actions, mut steps) = (Vec::new(), Vec::new());
+        match letter {
+            Letter::Ask(holder, duty, token, number) => {
+                self.vote(from, holder, (duty, token, number), now, out)
+            }
+            Letter::Vote(voter, duty, number, vote) => {
+                let (candidate, fence) = (&mut self.candidate, &mut self.fence);
+                candidate.vote(&voter, (duty, number), &vote, fence, now, &mut actions);
+            }
+            Letter::Release(holder, duty, token) => {
+                self.voter.iter_mut().for_each(|voter| voter.release(duty, &holder, token));
+            }
+            Letter::Want(engine, number) => {
+                let mine = self.first(fleet, Duty::Probe(engine)) == fleet.me().name;
+                let own = (&mut self.candidate, &self.fence);
+                self.prober.asked((from, engine, number), mine, own, now, (&mut actions, &mut steps));
+            }
+            Letter::Told(engine, number, token, sounding) => {
+                self.prober.told((engine, number), token, sounding, &mut self.fence, &mut steps);
+            }
+            Letter::NotMine(engine, number, token) => {
+                self.fence.saw(Duty::Probe(engine), token);
+                self.prober.not_mine(engine, number, now, &mut steps);
+            }
+        }
+        self.carry_out(actions, steps, fleet, now, out);
+    }
+
+    fn vote(
+        &mut self,
+        from: SocketAddr,
+        holder: Holder,
+        (duty, token, number): (Duty, Token, u32),
+        now: Micros,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(voter) = &mut self.voter else { return };
+        let (vote, new) = voter.request(now, duty, &holder, token);
+        let letter = Letter::Vote(self.candidate.me().name.clone(), duty, number, vote);
+        let letter = (from, wire::encode(&letter));
+        if new {
+            // Without room it is as if the vote were lost.
+            let _ = self.keeper.jobs.try_send((voter.highest().clone(), letter));
+        } else {
+            out.push(letter);
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, fleet: &Membership, now: Micros, out: &mut Vec<Out>) {
+        let (mut actions, mut steps) = (Vec::new(), Vec::new());
+        self.prober.tick(now, &mut steps);
+        if self.candidate.wakes().is_some_and(|at| now >= at.min(self.looked_at + LOOK)) {
+            self.looked_at = now;
+            let held: Vec<Duty> = self.candidate.owned(now).map(|(duty, ..)| duty).collect();
+            let mine: BTreeMap<Duty, bool> =
+                held.into_iter().map(|duty| (duty, self.first(fleet, duty) == fleet.me().name)).collect();
+            self.candidate.tick(|duty| mine.get(&duty).copied().unwrap_or(true), now, &mut actions);
+        }
+        self.carry_out(actions, steps, fleet, now, out);
+    }
+
+    /// The manager drains or ends: its duties pass at once.
+    pub fn release(&mut self, fleet: &Membership, now: Micros, out: &mut Vec<Out>) {
+        let mut actions = Vec::new();
+        self.candidate.release_all(&mut actions);
+        self.carry_out(actions, Vec::new(), fleet, now, out);
+    }
+
+    fn carry_out(
+        &mut self,
+        actions: Vec<Action>,
+        steps: Vec<Step>,
+        fleet: &Membership,
+        now: Micros,
+        out: &mut Vec<Out>,
+    ) {
+        let mut actions: std::collections::VecDeque<Action> = actions.into();
+        while let Some(action) = actions.pop_front() {
+            let me = self.candidate.me().clone();
+            match action {
+                // This manager's own vote needs no datagram; under a new token it is asked for like any other, since
+                // it has to be kept first.
+                Action::Ask(voter, duty, token, number) => {
+                    let to = if voter == me.name { Some(fleet.me().addr) } else { Desk::addr(fleet, &voter) };
+                    let letter = Letter::Ask(me, duty, token, number);
+                    out.extend(to.map(|to| (to, wire::encode(&letter))));
+                }
+                Action::Release(voter, duty, token) if voter == me.name => {
+                    self.voter.iter_mut().for_each(|voter| voter.release(duty, &me, token));
+                }
+                Action::Release(voter, duty, token) => {
+                    let letter = wire::encode(&Letter::Release(me, duty, token));
+                    out.extend(Desk::addr(fleet, &voter).map(|to| (to, letter)));
+                }
+                Action::Owned(duty, token) => {
+                    log!("duties: {duty} is owned here under {token}");
+                    let _ = self.module.try_send(Input::Owns(duty, token, true));
+                }
+                Action::Over(duty, token) => {
+                    log!("duties: {duty} is not owned here any more, under {token}");
+                    let _ = self.module.try_send(Input::Owns(duty, token, false));
+                }
+            }
+        }
+        for step in steps {
+            match step {
+                Step::Probe(engine) => drop(self.module.try_send(Input::Probe(engine, false))),
+                Step::ProbeForOthers(engine) => {
+                    // The lease is looked up in the same turn in which the order goes out.
+                    if self.candidate.owns(Duty::Probe(engine), now).is_some() {
+                        let _ = self.module.try_send(Input::Probe(engine, true));
+                    }
+                }
+                Step::Give(engine, sounding) => drop(self.module.try_send(Input::Sounded(engine, sounding))),
+                Step::Want(name, engine, number) => {
+                    let letter = wire::encode(&Letter::Want(engine, number));
+                    out.extend(Desk::addr(fleet, &name).map(|to| (to, letter)));
+                }
+                Step::Tell(to, engine, number, token, sounding) => {
+                    out.push((to, wire::encode(&Letter::Told(engine, number, token, sounding))));
+                }
+                Step::NotMine(to, engine, number) => {
+                    let token = self.fence.highest(Duty::Probe(engine));
+                    out.push((to, wire::encode(&Letter::NotMine(engine, number, token))));
+                }
+            }
+        }
+    }
+
+    /// JSON lines for `GET /duties`: what is owned here first, then what else was seen.
+    pub fn view(&self, fleet: &Membership, now: Micros) -> String {
+        let mut rows: BTreeMap<(bool, Duty), Row> = BTreeMap::new();
+        for (duty, token, left) in self.candidate.owned(now) {
+            let (member, left_ms) = (fleet.me().name.clone(), Some(left / MS));
+            rows.insert((false, duty), Row { duty: duty.to_string(), member, owns: true, token, left_ms });
+        }
+        for (duty, token) in self.fence.seen() {
+            if !rows.contains_key(&(false, duty)) {
+                let member = self.first(fleet, duty).to_owned();
+                let row = Row { duty: duty.to_string(), member, owns: false, token, left_ms: None };
+                rows.insert((true, duty), row);
+            }
+        }
+        let line = |row: Row| serde_json::to_string(&row).map_or_else(|_| String::new(), |line| line + "\n");
+        rows.into_values().map(line).collect()
+    }
+
+    /// Probes spared, results dropped for their token.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.prober.spared, self.fence.dropped)
+    }
+}
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -51,8 +51,13 @@
 /// Where the processes of a manager meet: in `$TMPDIR`, under the manager's name.
 pub fn place(name: &str) -> Option<PathBuf> {
     let folder = PathBuf::from(std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?);
+    Some(folder.join(format!("yokelift-{}.sock", plain(name))))
+}
+
+/// A manager's name as a part of a file's.
+pub fn plain(name: &str) -> String {
     let plain = |c: char| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' };
-    Some(folder.join(format!("yokelift-{}.sock", name.chars().map(plain).collect::<String>())))
+    name.chars().map(plain).collect()
 }
 
 /// What the process that runs has handed over.
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -2,15 +2,18 @@
 //! what it puts down for the second address. Started only with the operator's fleet file.
 use super::coordinator::Move;
 use super::core::Input;
+use super::duties::{self, Desk};
 use super::{Shared, until};
 use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
+use crate::duties::Holder;
+use crate::duties::wire::{self as letters, Letter};
 use crate::lifecycle::Stage;
 use crate::log;
 use crate::membership::file::Fleet;
 use crate::membership::wire::{self, Unread};
 use crate::membership::{
-    Action, Health, Membership, Rumour, SHUT_OUT, Sharers, Standing, Straggler, Versions,
+    Action, Health, Membership, Message, Rumour, SHUT_OUT, Sharers, Standing, Straggler, Versions,
 };
 use async_channel::Sender;
 use async_io::Async;
@@ -123,6 +126,7 @@
     let now = clock::turn();
     let bound = socket.get_ref().local_addr().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
     let (addr, seeds, timing) = (fleet.advertise.unwrap_or(bound), fleet.seeds, fleet.timing);
+    let fleet_duties = fleet.duties;
     // A new life outranks every earlier one under the same name: its first incarnation is the time of its start.
     let me = Rumour { name, addr, incarnation: life, health: Health::Alive, versions: versions(&shared) };
     let (grace, most) = (timing.grace_ms * MS, timing.datagram);
@@ -130,20 +134,42 @@
     let mut straggler = Straggler::default();
     let (mut buffer, mut shown_at, mut brought_up) = (vec![0; most + 1], 0, false);
     let (mut sharers, mut told) = (Sharers::new(managers), managers);
+    let socket = Rc::new(socket);
+    let desk = fleet_duties.map(|duties| {
+        let (me, late) = (Holder { name: machine.me().name.clone(), life }, socket.clone());
+        let send = move |(to, bytes): duties::Out| _ = late.get_ref().send_to(&bytes, to);
+        Desk::open(&shared, me, &duties, module.clone(), send, now)
+    });
+    let mut desk = desk.and_then(|desk| desk.map_err(|e| log!("{e}: no duties are shared out")).ok());
+    let words = desk.as_ref().map(Desk::words);
     loop {
-        let wakes = machine.wakes();
-        let received = or(async { Some(socket.recv_from(&mut buffer).await) }, async {
+        let wakes = desk.as_ref().and_then(Desk::wakes).map_or(machine.wakes(), |at| at.min(machine.wakes()));
+        let datagram = async { Some(Came::Datagram(socket.recv_from(&mut buffer).await.ok()?)) };
+        let word = async {
+            match &words {
+                Some(words) => words.recv().await.ok().map(Came::Word),
+                None => std::future::pending().await,
+            }
+        };
+        let late = async {
             until(Some(wakes)).await;
             None
-        });
-        let received = received.await;
+        };
+        let came = or(datagram, or(word, late)).await;
         let now = clock::turn();
+        let mut letters = Vec::new();
         let mut out = Vec::new();
         machine.versions(versions(&shared));
-        if let Some(Ok((n, from))) = received {
-            match wire::decode(&buffer[..n], most) {
-                Ok(message) => machine.receive(from, message, now, &mut out),
-                Err(why) => {
+        match (came, &mut desk) {
+            (Some(Came::Word(word)), Some(desk)) => desk.word(word, &machine, now, &mut letters),
+            (Some(Came::Datagram((n, from))), desk) => match (read(&buffer[..n], most), desk) {
+                (Ok(Read::Message(message)), _) => machine.receive(from, *message, now, &mut out),
+                (Ok(Read::Letter(letter)), Some(desk)) => {
+                    desk.receive(from, letter, &machine, now, &mut letters);
+                }
+                // This manager shares no duties.
+                (Ok(Read::Letter(_)), None) => machine.dropped += 1,
+                (Err(why), _) => {
                     machine.dropped += 1;
                     let why = match why {
                         Unread::Foreign => "of another format",
@@ -152,9 +178,20 @@
                     };
                     log!("fleet: a datagram from {from} dropped: {why}");
                 }
-            }
+            },
+            _ => {}
         }
         machine.tick(now, &mut out);
+        if let Some(desk) = &mut desk {
+            desk.tick(&machine, now, &mut letters);
+            // Duties pass at once from one that takes no clients.
+            if !shared.life.borrow().ready() {
+                desk.release(&machine, now, &mut letters);
+            }
+        }
+        for (to, bytes) in letters {
+            let _ = socket.get_ref().send_to(&bytes, to);
+        }
         let mut changed = false;
         for action in out {
             match action {
@@ -184,6 +221,9 @@
         if changed || now >= shown_at + VIEW_EVERY {
             shown_at = now;
             *shared.fleet.borrow_mut() = Some(Rc::new(view(&machine, standing, now)));
+            if let Some(desk) = &desk {
+                *shared.owned.borrow_mut() = Some(desk.view(&machine, now).into());
+            }
         }
         if shared.life.borrow().stage() == Stage::Stopping {
             let mut out = Vec::new();
@@ -198,6 +238,25 @@
     }
 }
 
+/// What woke the actor.
+enum Came {
+    Datagram((usize, SocketAddr)),
+    Word(duties::Word),
+}
+
+/// What a datagram holds.
+enum Read {
+    Message(Box<Message>),
+    Letter(Letter),
+}
+
+fn read(datagram: &[u8], most: usize) -> Result<Read, Unread> {
+    match datagram.starts_with(&letters::TAG) {
+        true => letters::decode(datagram, most).map(Read::Letter),
+        false => wire::decode(datagram, most).map(|message| Read::Message(Box::new(message))),
+    }
+}
+
 /// Acts on where the manager stands: once behind for the grace it reads its settings again, as at SIGHUP, and follows the
 /// coordinator on a new connection; behind for
 /// twice that it is shut out; in step it is back.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod coordinator;
 pub mod core;
 pub mod directory;
+pub mod duties;
 pub mod engine;
 pub mod handover;
 pub mod list;
@@ -75,6 +76,10 @@
     pub databases: Cell<bool>,
     /// What the module acts on, as the core put it down last.
     pub acting: Cell<Acting>,
+    /// To the fleet's actor, where duties are shared out.
+    pub duties: RefCell<Option<Sender<duties::Word>>>,
+    /// What it put down of them last, for the second address.
+    pub owned: RefCell<Option<Rc<str>>>,
     /// To the thread that has the audit's files, where there is one.
     pub audit: RefCell<Option<Sender<audit::Job>>>,
     /// What the fleet's membership put down last, for the second address.
@@ -108,6 +113,8 @@
             next_conn: Cell::new(1),
             databases: Cell::new(false),
             acting: Cell::default(),
+            duties: RefCell::default(),
+            owned: RefCell::default(),
             audit: RefCell::default(),
             fleet: RefCell::default(),
         });
--- a/tests/audit.rs
+++ b/tests/audit.rs
@@ -72,8 +72,7 @@
     assert!(eventually(|| ALL.iter().all(|i| versions(&fleet, *i)["generation"] == json!(2))));
     ALL.iter().for_each(|i| ask(*i, 2));
     fleet.world(|world| {
-        let drains = world.listed(1, Readiness::Draining);
-        world.coordinators[..4].iter().for_each(|c| c.tell(false, &[drains]));
+        world.tell(0..4, 1, Readiness::Draining);
     });
     assert!(eventually(|| (0..4).all(|i| versions(&fleet, i)["list"] == json!(2))));
     ALL.iter().for_each(|i| ask(*i, 3));
@@ -127,17 +126,15 @@
     let fleet = start("behind", 15);
     assert!(eventually(|| ALL.iter().all(|i| versions(&fleet, *i)["list"] == json!(1))));
     fleet.world(|world| {
-        let drains = world.listed(1, Readiness::Draining);
         world.coordinators[3].stall();
-        world.coordinators[..4].iter().for_each(|c| c.tell(false, &[drains]));
+        world.tell(0..4, 1, Readiness::Draining);
     });
     assert!(eventually(|| (0..4).all(|i| versions(&fleet, i)["list"] == json!(2))), "{}", fleet.log(3));
     assert!(fleet.log(3).contains("reading the configuration and the list again"), "{}", fleet.log(3));
     assert!(eventually(|| fleet.ready(4) == Some(503)), "{}", fleet.log(4));
     assert!((0..4).all(|i| fleet.ready(i) == Some(200)));
     fleet.world(|world| {
-        let drains = world.listed(1, Readiness::Draining);
-        world.coordinators[4].tell(false, &[drains]);
+        world.tell(4..5, 1, Readiness::Draining);
     });
     assert!(eventually(|| fleet.ready(4) == Some(200)), "{}", fleet.log(4));
     assert_eq!(versions(&fleet, 4)["list"], json!(2));
@@ -150,10 +147,9 @@
     let mut fleet = start("lives", 12);
     // Nothing is in service: what is asked is given up.
     fleet.world(|world| {
-        let gone = [world.listed(0, Readiness::Gone), world.listed(1, Readiness::Gone)];
-        world.coordinators.iter().for_each(|c| c.tell(false, &gone));
+        (0..2).for_each(|engine| world.tell(0..MEMBERS, engine, Readiness::Gone));
     });
-    assert!(eventually(|| ALL.iter().all(|i| versions(&fleet, *i)["list"] == json!(2))));
+    assert!(eventually(|| ALL.iter().all(|i| versions(&fleet, *i)["list"] == json!(3))));
     let got = fleet.ask(2, "lookup", 0xabc, 700);
     assert!(!matches!(got, Got::Served(_)), "{got:?}");
     let told = |fleet: &Fleet| {
@@ -167,7 +163,7 @@
     assert!(line["what"] == json!("refuse") || line["what"] == json!("fail"), "{line}");
     assert_eq!(
         (&line["member"], &line["list"], &line["class"]),
-        (&json!(fleet.name(2)), &json!(2), &json!("lookup"))
+        (&json!(fleet.name(2)), &json!(3), &json!("lookup"))
     );
     fleet.kill(2);
     fleet.launch(2, (0.62, 0.38));
@@ -176,7 +172,7 @@
         |lines: &[Value]| lines.iter().filter_map(|l| l["life"].as_u64()).collect::<BTreeSet<u64>>().len();
     assert!(eventually(|| lives(&told(&fleet)) == 2), "{:?}", told(&fleet));
     // What waits for its batch now is its list, and then nothing more comes.
-    assert!(eventually(|| told(&fleet).iter().rev().nth(1).is_some_and(|l| l["list"] == json!(2))));
+    assert!(eventually(|| told(&fleet).iter().rev().nth(1).is_some_and(|l| l["list"] == json!(3))));
     let lines = told(&fleet);
     assert_eq!(given_up(&lines).as_ref(), Some(&line));
     // A page from the last place on holds nothing but its end.
