--- a/src/bin/yokelift-drill/main.rs
+++ b/src/bin/yokelift-drill/main.rs
@@ -173,6 +173,7 @@
         memory_hint: Some(memory).filter(|m| *m > 0.0),
         group,
         repeated: marks & 2 != 0,
+        single: false,
     }))
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,5 @@
 //! What one workload manager is told at its start: `PROXY_CONFIG`, a JSON file.
-use crate::interface::{ClassId, Nanos, Settings};
+use crate::interface::{ClassId, ClassSpec, Effect, Nanos, Settings};
 use crate::settings;
 use serde::Deserialize;
 use serde_json::Value;
@@ -45,6 +45,8 @@
     pub classes: Vec<String>,
     /// Those of them that are not in force any more.
     pub dropped: BTreeSet<u16>,
+    /// Those whose requests carry keys by which engines know repeats.
+    pub keyed: BTreeSet<u16>,
     /// Tenants, in the order of the settings.
     pub tenants: Vec<String>,
     /// Zones, in the order of the settings.
@@ -96,6 +98,12 @@
     pub text: Value,
 }
 
+/// The classes, by their ids, whose requests carry keys.
+pub fn keyed<'a>(classes: impl Iterator<Item = &'a ClassSpec>) -> BTreeSet<u16> {
+    let keyed = (0..).zip(classes).filter(|(_, class)| matches!(class.effect, Effect::Keyed { .. }));
+    keyed.map(|(at, _)| at).collect()
+}
+
 fn names(v: &Value) -> Vec<String> {
     let name = |v: &Value| v.as_str().or_else(|| v["name"].as_str()).unwrap_or_default().to_owned();
     v.as_array().map(|list| list.iter().map(name).collect()).unwrap_or_default()
@@ -113,6 +121,12 @@
     if let Some((name, _)) = names.iter().zip(&settings.classes).find(|(_, class)| class.deadline == 0) {
         return Err(format!("settings: the deadline of {name} is not a positive number"));
     }
+    let windowless = |class: &ClassSpec| matches!(class.effect, Effect::Keyed { window: 0, .. });
+    if let Some((name, _)) = names.iter().zip(&settings.classes).find(|(_, class)| windowless(class)) {
+        return Err(format!(
+            "settings: the window in which repeats of {name} are known is not a positive number"
+        ));
+    }
     if settings.limits.send_cap == 0 {
         return Err("settings: the attempts (send_cap) are not a positive number".into());
     }
@@ -169,6 +183,7 @@
     let names = Names {
         classes: names(&s["classes"]),
         dropped: BTreeSet::new(),
+        keyed: keyed(settings.classes.iter()),
         tenants: names(&s["orgs"]),
         zones: names(&s["zones"]),
         kinds: names(&s["kinds"]),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -432,7 +432,7 @@
     fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
         let Some((first, sent)) = r.ran_on else { return true };
         let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
-        match self.class(r).effect {
+        match self.effect(r) {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { scope, window } => {
@@ -710,7 +710,7 @@
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
         r.done = true;
         let class = &self.s.classes[usize::from(r.ask.class.0)];
-        let may_refuse = match class.effect {
+        let may_refuse = match if r.ask.single { Effect::Unsafe } else { class.effect } {
             Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => r.ran_on.is_none() && r.out.is_none(),
         };
--- a/src/engine/clickhouse.rs
+++ b/src/engine/clickhouse.rs
@@ -3,8 +3,8 @@
 use crate::clock::{MS, Micros, SEC};
 use crate::http::{self, Body, Head};
 use crate::interface::{LoadReport, OutcomeKind, RequestId};
-use crate::manager::Job;
 use crate::manager::ends::End;
+use crate::manager::{Cost, Job};
 use std::rc::Rc;
 
 /// An answer longer than this is not gathered.
@@ -78,13 +78,15 @@
         let load = LoadReport::default();
         match (self.asked.take(), head.first[1].as_str(), code) {
             (Some(Asked::Query(id, _)), "200", None) if same_columns(&rows) => {
-                said.push(Said::Ended(id, End::Done, rows, load))
+                said.push(Said::Ended(id, End::Done, rows, load, Cost::default()))
             }
             // Its own word that it took nothing on. Any other error may come after the query began.
             (Some(Asked::Query(id, _)), "503", Some(TOO_MANY_QUERIES)) => {
-                said.push(Said::Ended(id, End::Full, Vec::new(), load));
+                said.push(Said::Ended(id, End::Full, Vec::new(), load, Cost::default()));
+            }
+            (Some(Asked::Query(id, _)), _, _) => {
+                said.push(Said::Ended(id, End::Broke, Vec::new(), load, Cost::default()))
             }
-            (Some(Asked::Query(id, _)), _, _) => said.push(Said::Ended(id, End::Broke, Vec::new(), load)),
             (Some(Asked::Ping(n)), "200", _) => said.push(Said::Probed(n, OutcomeKind::Ok, load)),
             (Some(Asked::Ping(n)), _, _) => said.push(Said::Probed(n, OutcomeKind::Error, load)),
             (Some(Asked::Nobody) | None, _, _) => {}
@@ -94,7 +96,7 @@
     fn end(&mut self, end: End, said: &mut Vec<Said>) {
         self.reusable = false;
         if let Some(Asked::Query(id, _)) = self.asked.take() {
-            said.push(Said::Ended(id, end, Vec::new(), LoadReport::default()));
+            said.push(Said::Ended(id, end, Vec::new(), LoadReport::default(), Cost::default()));
         }
     }
 }
--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -4,7 +4,7 @@
 use crate::clock::{MS, Micros};
 use crate::interface::{AttemptNo, LoadReport, OutcomeKind, RequestId};
 use crate::manager::ends::{End, Reach};
-use crate::manager::{Ended, Job};
+use crate::manager::{Cost, Ended, Job};
 use std::collections::{BTreeMap, VecDeque};
 
 /// How long after the word that gives an attempt up it counts as given up: the word has to get there before
@@ -133,7 +133,8 @@
     /// Takes an attempt on.
     pub fn start(&mut self, now: Micros, job: &Job) {
         let mut bytes = self.wire.start(now, job);
-        let tail = bytes.split_off(bytes.len() - if job.once { LAST_BYTES.min(bytes.len() - 1) } else { 0 });
+        let tail =
+            bytes.split_off(bytes.len() - if job.single { LAST_BYTES.min(bytes.len() - 1) } else { 0 });
         self.outbox.push_back(Chunk { starts: Some(job.id), ends: None, bytes, done: 0 });
         if !tail.is_empty() {
             self.outbox.push_back(Chunk { starts: None, ends: Some(job.id), bytes: tail, done: 0 });
@@ -157,6 +158,7 @@
         end: End,
         rows: Vec<u8>,
         load: LoadReport,
+        cost: Cost,
     ) -> Option<Event> {
         let OnIt { attempt, reach, .. } = self.on_it.remove(&id)?;
         self.quiet_since = now;
@@ -164,11 +166,11 @@
             self.stale.push_back(id);
             self.stale.drain(..self.stale.len().saturating_sub(MOST_STALE));
         }
-        Some(Event::Ended(Ended { id, attempt, end, reach, rows, load }))
+        Some(Event::Ended(Ended { id, attempt, end, reach, rows, load, cost }))
     }
 
     fn end_plain(&mut self, now: Micros, id: RequestId, end: End) -> Option<Event> {
-        self.end(now, id, end, Vec::new(), LoadReport::default())
+        self.end(now, id, end, Vec::new(), LoadReport::default(), Cost::default())
     }
 
     /// Takes an attempt back before its first byte.
@@ -198,6 +200,16 @@
         }
     }
 
+    /// Gives an attempt a new priority. It follows the attempt's own words, so that none comes first.
+    pub fn bump(&mut self, id: RequestId, attempt: AttemptNo, urgency: u8) {
+        if self.on_it.get(&id).is_some_and(|a| a.attempt == attempt && a.settles.is_none()) {
+            let bytes = self.wire.bump(id, urgency);
+            if !bytes.is_empty() {
+                self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 });
+            }
+        }
+    }
+
     /// The engine drains or is gone. Guards rule 3: what waits to go out, as it does while the connection is
     /// being made or while the engine does not read, must not go out any more.
     pub fn drain(&mut self, now: Micros, events: &mut Vec<Event>) {
@@ -262,7 +274,9 @@
         }
         for said in said {
             match said {
-                Said::Ended(id, end, rows, load) => events.extend(self.end(now, id, end, rows, load)),
+                Said::Ended(id, end, rows, load, cost) => {
+                    events.extend(self.end(now, id, end, rows, load, cost));
+                }
                 // Guards against a second copy, or one that comes too late: it tells nothing of a later probe.
                 Said::Probed(number, kind, load) => {
                     let sent = self.probes.iter().position(|(n, _)| *n == number);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -5,14 +5,14 @@
 
 use crate::clock::Micros;
 use crate::interface::{LoadReport, OutcomeKind, RequestId};
-use crate::manager::Job;
 use crate::manager::ends::End;
+use crate::manager::{Cost, Job};
 
 /// What a wire made of the bytes of an engine.
 #[derive(Debug)]
 pub enum Said {
     /// An attempt ended; with [`End::Done`] come all its rows.
-    Ended(RequestId, End, Vec<u8>, LoadReport),
+    Ended(RequestId, End, Vec<u8>, LoadReport, Cost),
     /// The probe with that number came back.
     Probed(u64, OutcomeKind, LoadReport),
 }
@@ -25,6 +25,10 @@
     fn start(&mut self, now: Micros, job: &Job) -> Vec<u8>;
     /// The bytes that give up an attempt that went out; `None` if only closing the connection does.
     fn stop(&mut self, id: RequestId) -> Option<Vec<u8>>;
+    /// The bytes that give an attempt that went out a new priority; none if the protocol has no word for it.
+    fn bump(&mut self, _id: RequestId, _urgency: u8) -> Vec<u8> {
+        Vec::new()
+    }
     /// The bytes of the probe with that number.
     fn probe(&mut self, number: u64) -> Vec<u8>;
     /// Reads what came. `replies` takes what the protocol has to say at once.
--- a/src/engine/platform.rs
+++ b/src/engine/platform.rs
@@ -3,9 +3,10 @@
 use crate::clock::{MS, Micros};
 use crate::config::Names;
 use crate::interface::{LoadReport, OutcomeKind, RequestId};
-use crate::manager::Job;
 use crate::manager::ends::End;
+use crate::manager::{Cost, Job};
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::rc::Rc;
 
 /// A line longer than this is not the protocol, nor is a body: pages are smaller.
@@ -28,6 +29,7 @@
     /// When page 0 came.
     told_at: Micros,
     load: LoadReport,
+    cost: Cost,
 }
 
 /// One connection to an engine of the platform.
@@ -80,6 +82,8 @@
             return Ok(());
         }
         let load = self.load(fields);
+        let told = |name| fields.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<f64>().ok());
+        let cost = Cost::told(told("toil"), told("room"));
         let count = |name| fields.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<usize>().ok());
         if !matches!(word, "DONE" | "MORE" | "WAIT" | "PAST" | "BROKE" | "KEEP" | "LACK" | "TELL") {
             return Err(End::Garbled);
@@ -94,7 +98,7 @@
         match word {
             "DONE" if running.sheets.is_empty() => {
                 let Some(sheets) = count("sheets").filter(|n| *n > 0) else { return Err(End::Garbled) };
-                (running.load, running.told_at) = (load, now);
+                (running.load, running.cost, running.told_at) = (load, cost, now);
                 if sheets > MOST_SHEETS {
                     ended = Some(End::Broke);
                 } else {
@@ -133,7 +137,7 @@
         // Pages hold whole rows and go out in order, or not at all.
         let rows =
             if end == End::Done { running.sheets.into_iter().flatten().flatten().collect() } else { vec![] };
-        said.push(Said::Ended(id, end, rows, running.load));
+        said.push(Said::Ended(id, end, rows, running.load, running.cost));
         Ok(())
     }
 }
@@ -158,13 +162,23 @@
     fn start(&mut self, now: Micros, job: &Job) -> Vec<u8> {
         let class = &job.class;
         let limit = (job.until.saturating_sub(now) / MS).max(1);
-        let allot =
-            if job.memory_mb > 0.0 { format!(",allot={}", job.memory_mb.ceil()) } else { String::new() };
         let (key, length) = (&job.key, job.statement.len());
-        let mut bytes = format!("do {key} cls={class},limit={limit}{allot} {length}\r\n").into_bytes();
+        let mut fields = format!("cls={class},limit={limit}");
+        // Writing to a string can't fail.
+        if let Some(nonce) = &job.nonce {
+            let _ = write!(fields, ",nonce={nonce}");
+        }
+        if job.memory_mb > 0.0 {
+            let _ = write!(fields, ",allot={}", job.memory_mb.ceil());
+        }
+        if let Some(urgency) = job.urgency {
+            let _ = write!(fields, ",urgency={urgency}");
+        }
+        let mut bytes = format!("do {key} {fields} {length}\r\n").into_bytes();
         bytes.extend_from_slice(&job.statement);
         bytes.extend_from_slice(b"\r\n");
-        let running = Running { id: job.id, sheets: Vec::new(), told_at: 0, load: LoadReport::default() };
+        let (load, cost) = (LoadReport::default(), Cost::default());
+        let running = Running { id: job.id, sheets: Vec::new(), told_at: 0, load, cost };
         self.running.insert(job.key.clone(), running);
         bytes
     }
@@ -176,6 +190,12 @@
         Some(key.map_or(Vec::new(), |key| format!("{word} {key}\r\n").into_bytes()))
     }
 
+    fn bump(&mut self, id: RequestId, urgency: u8) -> Vec<u8> {
+        // One whose answer has begun runs no more.
+        let runs = self.running.iter().find(|(_, r)| r.id == id && r.sheets.is_empty());
+        runs.map_or(Vec::new(), |(key, _)| format!("bump {key} {urgency}\r\n").into_bytes())
+    }
+
     fn probe(&mut self, number: u64) -> Vec<u8> {
         let word = if self.names.load_fields.is_empty() { "ping" } else { "top" };
         format!("{word} p{number}\r\n").into_bytes()
@@ -224,7 +244,7 @@
         let late = |r: &Running| !r.sheets.is_empty() && r.told_at + PAGES <= now;
         for (key, running) in self.running.extract_if(.., |_, r| late(r)) {
             replies.extend_from_slice(format!("forget {key}\r\n").as_bytes());
-            said.push(Said::Ended(running.id, End::Silent, Vec::new(), running.load));
+            said.push(Said::Ended(running.id, End::Silent, Vec::new(), running.load, Cost::default()));
         }
         Ok(())
     }
--- a/src/front/clickhouse.rs
+++ b/src/front/clickhouse.rs
@@ -380,6 +380,7 @@
             repeated: false,
             statement: statement.into(),
             session: Some(Rc::new(session)),
+            once: None,
         };
         let chunks = head.first[2] != "HTTP/1.0";
         Ok((ask, Busy { tag: self.tags, keep: true, chunks, query_id, format }))
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -55,6 +55,8 @@
     kb: Option<f64>,
     #[serde(default)]
     retry: Value,
+    #[serde(default)]
+    once: Value,
     arg: String,
 }
 
@@ -203,6 +205,13 @@
             return Err((INVALID_PARAMS, "a figure is out of range"));
         }
         let names = self.names.borrow();
+        let once = match &params.once {
+            Value::Null => None,
+            Value::String(key) if well_formed(key) => Some(key.as_str().into()),
+            // One that no engine could be given unchanged. Where the class has no keys it means nothing.
+            _ if names.keyed.contains(&class.0) => return Err((INVALID_PARAMS, "params.once is no key")),
+            _ => None,
+        };
         let tenant = names.tenants.iter().position(|t| *t == params.tenant);
         let tenant = match tenant {
             None if names.tenants.is_empty() => 0,
@@ -223,10 +232,17 @@
                 || params.retry.as_u64().is_some_and(|n| n > 0),
             statement: statement.into(),
             session: None,
+            once,
         })
     }
 }
 
+/// Whether a key can pass on unchanged: it stands as a word among others on an engine's line.
+fn well_formed(key: &str) -> bool {
+    let word = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'-' | b'_' | b'.' | b':');
+    (1..=MOST_ID).contains(&key.len()) && key.bytes().all(word)
+}
+
 /// Whether an id may go back as it came.
 fn plain(id: &Value) -> bool {
     match id {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -307,6 +307,8 @@
     pub group: u64,
     /// The client said that it tried before.
     pub repeated: bool,
+    /// It must not run twice, whatever its class allows: it has no key by which engines would know a repeat.
+    pub single: bool,
 }
 
 /// How an attempt ended.
--- a/src/manager/counters.rs
+++ b/src/manager/counters.rs
@@ -49,6 +49,8 @@
     pub gone: u64,
     /// Attempts ordered.
     pub attempts: u64,
+    /// Those of them that went while another one of their request was out.
+    pub copies: u64,
     /// Attempts withdrawn.
     pub withdrawn: u64,
     /// Probes sent.
@@ -82,9 +84,10 @@
 
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Counters { taken, served, refused, failed, gone, attempts, withdrawn, probes, .. } = self;
+        let Counters { taken, served, refused, failed, gone, attempts, copies, withdrawn, probes, .. } = self;
         write!(f, "taken {taken} served {served} refused {refused} failed {failed} gone {gone} ")?;
-        write!(f, "open {} attempts {attempts} withdrawn {withdrawn} probes {probes} ", self.open())?;
+        write!(f, "open {} attempts {attempts} copies {copies} ", self.open())?;
+        write!(f, "withdrawn {withdrawn} probes {probes} ")?;
         write!(f, "stopped {} stray {} ", self.stopped, self.stray)?;
         write!(f, "lists {} directory-readings {} ", self.lists, self.directory_readings)?;
         write!(f, "directory-failures {} reloads {} ", self.directory_failures, self.reloads)?;
--- /dev/null
+++ b/src/manager/ledger.rs
@@ -0,0 +1,111 @@
+//! The ledger of one request: what is out for it, what may have run, and what the rules then allow. Pure.
+use super::ends::End;
+use super::words::Ask;
+use crate::clock::{Micros, nanos};
+use crate::interface::{AttemptNo, Effect, EngineEntry, Scope};
+
+/// An attempt that is out.
+pub struct Out {
+    /// Where it went, as the list had that engine.
+    pub to: EngineEntry,
+    /// Its number.
+    pub attempt: AttemptNo,
+    /// When it went.
+    pub sent_at: Micros,
+    /// When its time is up.
+    pub until: Micros,
+    /// Asked to stop: by the module, since another one was answered, or since its time was up.
+    pub stopping: Option<End>,
+}
+
+/// The first attempt that may have run.
+#[derive(Clone, Copy)]
+pub struct Ran {
+    /// Where it went.
+    pub on: EngineEntry,
+    /// When it was sent.
+    pub sent_at: Micros,
+}
+
+/// A request that is open, or closed with something out.
+pub struct Open {
+    /// As its front handed it in.
+    pub ask: Ask,
+    /// What repeating this one may do: a request of a keyed class without a key must never run twice.
+    pub effect: Effect,
+    /// Attempts so far.
+    pub sends: u16,
+    /// Attempts that it may have.
+    pub most_sends: u16,
+    /// Attempts that may be out together.
+    pub copies: usize,
+    /// What is out.
+    pub outs: Vec<Out>,
+    /// The first attempt that ended and may have run.
+    pub ran: Option<Ran>,
+    /// Memory to grant with the next attempt.
+    pub memory_mb: f64,
+    /// Its priority, where one was set.
+    pub urgency: Option<u8>,
+    /// How its last attempt ended.
+    pub last_end: Option<End>,
+    /// The final answer was given, or the client left.
+    pub closed: bool,
+}
+
+impl Open {
+    /// The first attempt that may have run, or is out.
+    fn first(&self) -> Option<Ran> {
+        let out = self.outs.iter().map(|out| Ran { on: out.to, sent_at: out.sent_at });
+        out.chain(self.ran).min_by_key(|ran| ran.sent_at)
+    }
+
+    /// Whether an attempt may go to that engine now: the rules on effects and on attempts out. Two never go to one
+    /// engine, which would take the word about one of them for the other.
+    pub fn may_send(&self, now: Micros, to: &EngineEntry) -> bool {
+        let place = self.outs.len() < self.copies && self.outs.iter().all(|out| out.to.id != to.id);
+        !self.closed && place && self.sends < self.most_sends && self.repeats(now, to)
+    }
+
+    fn repeats(&self, now: Micros, to: &EngineEntry) -> bool {
+        let Some(Ran { on, sent_at }) = self.first() else { return true };
+        match self.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { scope, window } => {
+                let knows = match scope {
+                    Scope::All => true,
+                    Scope::Zone => on.zone == to.zone,
+                    Scope::Cell => on.cell == to.cell,
+                };
+                knows && nanos(now) < nanos(sent_at).saturating_add(window)
+            }
+        }
+    }
+
+    /// Whether a refusal is honest: it promises that trying again is harmless.
+    pub fn may_refuse(&self) -> bool {
+        let harmless = matches!(self.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
+        harmless || self.first().is_none()
+    }
+
+    /// The attempt of that number, if it is out.
+    pub fn out(&self, attempt: AttemptNo) -> Option<&Out> {
+        self.outs.iter().find(|out| out.attempt == attempt)
+    }
+
+    /// Takes that attempt off the book.
+    pub fn take_out(&mut self, attempt: AttemptNo) -> Option<Out> {
+        let at = self.outs.iter().position(|out| out.attempt == attempt)?;
+        Some(self.outs.remove(at))
+    }
+
+    /// Whether another attempt has its time up at that moment.
+    pub fn due_at(&self, until: Micros) -> bool {
+        self.outs.iter().any(|out| out.until == until && out.stopping.is_none())
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/inside/ledger.rs"]
+mod tests;
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -5,6 +5,8 @@
 //! known. Fronts hand in [`Ask`]s, engines hand in [`Ended`]s; out come [`Order`]s.
 pub mod counters;
 pub mod ends;
+mod ledger;
+pub mod words;
 
 use crate::audit::{Decision, What};
 use crate::clock::{MS, Micros, micros, nanos};
@@ -13,158 +15,12 @@
 use crate::interface::*;
 use crate::statement;
 use counters::{Counters, Figures};
-use ends::{End, Reach, never_ran, outcome};
+use ends::{End, never_ran, outcome};
+use ledger::{Open, Out, Ran};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
-
-/// Which connection of which front a request came from, and the front's own mark for it there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Origin {
-    /// The connection.
-    pub conn: u64,
-    /// The request on it.
-    pub tag: u64,
-}
-
-/// What a client's session adds to a statement; not every engine knows of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Session {
-    /// Where names without a schema are looked up.
-    pub database: Option<Rc<str>>,
-    /// The client's own name for the query.
-    pub query_id: Option<Rc<str>>,
-}
-
-/// A request, as a front hands it in.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Where the answer goes.
-    pub origin: Origin,
-    /// The client's name for the request, passed on unchanged.
-    pub key: Rc<str>,
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// When the client stops waiting.
-    pub give_up_at: Micros,
-    /// The estimate of its work.
-    pub cost: Option<Micros>,
-    /// The estimate of its memory.
-    pub memory_mb: Option<f64>,
-    /// The client said that it tried before.
-    pub repeated: bool,
-    /// What to run.
-    pub statement: Rc<[u8]>,
-    /// What its session adds.
-    pub session: Option<Rc<Session>>,
-}
-
-/// Why a request failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// Its time was up.
-    Deadline,
-    /// Its last attempt ended so.
-    Attempt(End),
-    /// It was never sent.
-    NotSent,
-    /// Its name is that of another request.
-    InUse,
-}
-
-/// A final answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// All rows, as text with tabs and line feeds.
-    Served(Vec<u8>),
-    /// Trying again is harmless; after so long, if advice is given.
-    Refused(Option<Micros>),
-    /// Nothing is promised.
-    Failed(Failure),
-    /// One that another process gave and worded, on a connection that was passed to this one.
-    Worded(Vec<u8>),
-}
-
-/// An attempt to start.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// The request.
-    pub id: RequestId,
-    /// The attempt.
-    pub attempt: AttemptNo,
-    /// The client's name for the request.
-    pub key: Rc<str>,
-    /// The name of its class.
-    pub class: Rc<str>,
-    /// What to run.
-    pub statement: Rc<[u8]>,
-    /// What its session adds.
-    pub session: Option<Rc<Session>>,
-    /// It must never run twice.
-    pub once: bool,
-    /// When nobody waits for it any more.
-    pub until: Micros,
-    /// Memory to grant in MB; 0 leaves it to the engine.
-    pub memory_mb: f64,
-}
-
-/// What the core wants done.
-#[derive(Clone, Debug)]
-pub enum Order {
-    /// Start an attempt.
-    Start(EngineId, Job),
-    /// Give up an attempt; its end comes back.
-    Stop(EngineId, RequestId, AttemptNo),
-    /// Probe an engine.
-    Probe(EngineId),
-    /// Close idle connections to an engine.
-    CloseIdle(EngineId),
-    /// Give a final answer.
-    Answer(Origin, Answer),
-    /// A line of the module for the log.
-    Log(String),
-}
-
-/// An attempt that ended.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// The request.
-    pub id: RequestId,
-    /// The attempt.
-    pub attempt: AttemptNo,
-    /// How.
-    pub end: End,
-    /// How much of it went out.
-    pub reach: Reach,
-    /// With [`End::Done`]: the rows.
-    pub rows: Vec<u8>,
-    /// The engine's load, where told.
-    pub load: LoadReport,
-}
-
-struct Out {
-    engine: EngineId,
-    attempt: AttemptNo,
-    sent_at: Micros,
-    until: Micros,
-    /// Asked to stop: by the module, or since its time was up.
-    stopping: Option<End>,
-}
-
-struct Open {
-    ask: Ask,
-    sends: u16,
-    most_sends: u16,
-    out: Option<Out>,
-    /// The first attempt that may have run, if any did.
-    may_have_run: bool,
-    memory_mb: f64,
-    last_end: Option<End>,
-    /// The final answer was given, or the client left.
-    closed: bool,
-}
+pub use words::{Answer, Ask, Cost, Ended, Failure, Job, Order, Origin, Session};
 
 /// How long after a client's deadline the core waits for the module's answer before it gives its own.
 const GUARD: Micros = 25_000;
@@ -174,6 +30,11 @@
 /// Names of requests that are over are remembered so far: a name must not come again while words about it may.
 const MOST_PAST_KEYS: usize = 4_096;
 
+/// Attempts of a request that may be out together, where the settings allow second copies.
+const MOST_COPIES: usize = 2;
+/// The highest priority.
+const MOST_URGENCY: u8 = 3;
+
 /// When to come back to another manager, as this one ends.
 const ELSEWHERE_AFTER: Micros = 50_000;
 
@@ -182,7 +43,8 @@
     module: Gateway,
     generations: Generations,
     send_cap: u16,
-    engines: BTreeMap<EngineId, Readiness>,
+    engines: BTreeMap<EngineId, EngineEntry>,
+    heeds: Heeds,
     open: BTreeMap<RequestId, Open>,
     origins: BTreeMap<Origin, RequestId>,
     deadlines: BTreeSet<(Micros, RequestId)>,
@@ -208,9 +70,10 @@
         let mut manager = Manager {
             generations: Generations::new(named(&settings, names)),
             send_cap: send_cap(&settings),
-            module: Gateway::new(nanos(now), settings, seed),
             engines: BTreeMap::new(),
+            heeds: Heeds::of(&settings),
             open: BTreeMap::new(),
+            module: Gateway::new(nanos(now), settings, seed),
             origins: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             timers: BinaryHeap::new(),
@@ -234,6 +97,7 @@
         let fresh: Vec<_> = fresh.iter().map(|fresh| (fresh.slot, fresh.heir_of)).collect();
         let classes = self.generations.slots().map(|(class, _)| class.spec.clone()).collect();
         self.send_cap = send_cap(&settings);
+        self.heeds = Heeds::of(&settings);
         self.module.retune(Settings { classes, ..mute(settings) }, &fresh);
         self.list_classes(names);
     }
@@ -345,10 +209,10 @@
     pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<EngineEntry>, orders: &mut Vec<Order>) {
         self.counters.lists += 1;
         if matches!(kind, ListKind::Cached | ListKind::Full) {
-            self.engines.values_mut().for_each(|readiness| *readiness = Readiness::Gone);
+            self.engines.clear();
         }
-        self.engines.extend(entries.iter().map(|e| (e.id, e.readiness)));
-        self.engines.retain(|_, readiness| *readiness != Readiness::Gone);
+        self.engines.extend(entries.iter().map(|e| (e.id, *e)));
+        self.engines.retain(|_, entry| entry.readiness != Readiness::Gone);
         self.tell(now, Event::List { kind, entries }, orders);
     }
 
@@ -372,9 +236,14 @@
         self.counters.taken += 1;
         // Guards the rule of one answer: a second request under a mark that is still open would take the
         // first one's answer.
-        if self.origins.contains_key(&ask.origin) || self.generations.class(ask.class).is_none() {
+        let class = self.generations.class(ask.class).filter(|_| !self.origins.contains_key(&ask.origin));
+        let Some(of_class) = class.map(|class| class.spec.effect) else {
             return self.turn_down(&ask, Answer::Failed(Failure::NotSent), orders);
-        }
+        };
+        // Guards rule 2: engines know a repeat by its key alone, so without one there is to be none.
+        let keyed = matches!(of_class, Effect::Keyed { .. });
+        let effect = if keyed && ask.once.is_none() { Effect::Unsafe } else { of_class };
+        let copies = if self.heeds.copies && effect != Effect::Unsafe { MOST_COPIES } else { 1 };
         // Guards the rules on attempts and answers: engines and clients tell requests apart by their names, and
         // a second one under the name of the first would pass for its further attempt, or take its answer.
         if self.keys.contains(&ask.key) {
@@ -398,6 +267,7 @@
             memory_hint: ask.memory_mb,
             group: statement::group(&ask.statement, ask.session.as_ref().and_then(|s| s.database.as_deref())),
             repeated: ask.repeated,
+            single: effect == Effect::Unsafe,
         });
         self.generations.opened(ask.class);
         self.origins.insert(ask.origin, id);
@@ -406,9 +276,12 @@
             ask,
             sends: 0,
             most_sends: self.send_cap,
-            out: None,
-            may_have_run: false,
+            copies,
+            effect,
+            outs: Vec::new(),
+            ran: None,
             memory_mb: 0.0,
+            urgency: None,
             last_end: None,
             closed: false,
         };
@@ -442,7 +315,7 @@
         open.closed = true;
         self.deadlines.remove(&(open.ask.give_up_at + GUARD, id));
         self.tell(now, Event::ClientGone(id), orders);
-        self.stop(id, End::Withdrawn, orders);
+        self.stop_all(id, End::Withdrawn, orders);
         self.forget(id);
     }
 
@@ -451,13 +324,14 @@
         let id = ended.id;
         let known = self.open.get_mut(&id);
         // Guards against an end that comes twice, as when a time-out crosses an answer: the first one counts.
-        let Some((open, out)) = known
-            .and_then(|open| open.out.take_if(|out| out.attempt == ended.attempt).map(|out| (open, out)))
+        let Some((open, out)) = known.and_then(|open| open.take_out(ended.attempt).map(|out| (open, out)))
         else {
             self.counters.stray += 1;
             return;
         };
-        self.deadlines.remove(&(out.until, id));
+        if !open.due_at(out.until) {
+            self.deadlines.remove(&(out.until, id));
+        }
         // An attempt that was given up did not fail: its time was up, or it was called off.
         let end = match (ended.end, out.stopping) {
             (End::Withdrawn, Some(why)) => why,
@@ -465,8 +339,12 @@
         };
         *self.counters.ends.entry(end).or_default() += 1;
         let kind = outcome(end, ended.reach);
-        open.may_have_run |= !never_ran(kind);
+        if !never_ran(kind) {
+            let ran = Ran { on: out.to, sent_at: out.sent_at };
+            open.ran = Some(open.ran.filter(|first| first.sent_at <= ran.sent_at).unwrap_or(ran));
+        }
         open.last_end = Some(end);
+        let cost = if self.heeds.costs && kind == OutcomeKind::Ok { ended.cost } else { Cost::default() };
         let served = kind == OutcomeKind::Ok && !open.closed;
         let closed = open.closed || served;
         if served {
@@ -475,12 +353,12 @@
         let event = Event::Outcome(Outcome {
             id,
             attempt: out.attempt,
-            engine: out.engine,
+            engine: out.to.id,
             kind,
             latency: nanos(now.saturating_sub(out.sent_at)),
             closed,
-            work: None,
-            memory_mb: None,
+            work: cost.work.map(nanos),
+            memory_mb: cost.memory_mb,
             load: ended.load,
         });
         self.tell(now, event, orders);
@@ -521,13 +399,15 @@
             self.deadlines.remove(&(at, id));
             let Some(open) = self.open.get_mut(&id) else { continue };
             if at < open.ask.give_up_at + GUARD {
-                self.stop(id, End::Deadline, orders);
+                let late = open.outs.iter().filter(|out| out.until <= at).map(|out| out.attempt);
+                let late: Vec<AttemptNo> = late.collect();
+                late.into_iter().for_each(|attempt| self.stop(id, attempt, End::Deadline, orders));
             } else if !open.closed {
                 // Guards the rule of one answer against an oversight of the module: it is late already.
                 self.counters.stopped += 1;
                 self.fail(id, Failure::Deadline, orders);
                 self.tell(now, Event::ClientGone(id), orders);
-                self.stop(id, End::Deadline, orders);
+                self.stop_all(id, End::Deadline, orders);
                 self.forget(id);
             }
         }
@@ -543,16 +423,11 @@
     fn carry_out(&mut self, now: Micros, act: Action, orders: &mut Vec<Order>) {
         match act {
             Action::Send { id, engine, timeout } => self.send(now, id, engine, timeout, orders),
-            Action::Terms { id, memory_mb, .. } => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.memory_mb = memory_mb;
-                }
-            }
+            Action::Terms { id, priority, memory_mb } => self.terms(id, priority, memory_mb, orders),
             Action::Cancel { id, attempt } => {
-                let out = self.open.get(&id).and_then(|open| open.out.as_ref());
-                if out.is_some_and(|out| out.attempt == attempt) {
+                if self.open.get(&id).is_some_and(|open| open.out(attempt).is_some()) {
                     self.counters.withdrawn += 1;
-                    self.stop(id, End::Withdrawn, orders);
+                    self.stop(id, attempt, End::Withdrawn, orders);
                 }
             }
             Action::Refuse { id, retry_after } => self.refuse(id, micros(retry_after), orders),
@@ -588,52 +463,84 @@
         timeout: Nanos,
         orders: &mut Vec<Order>,
     ) {
-        let ready = self.engines.get(&engine) == Some(&Readiness::Ready);
+        let to = self.engines.get(&engine).copied().filter(|entry| entry.readiness == Readiness::Ready);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.sends);
+        let may = to.filter(|to| open.may_send(now, to));
         open.sends = open.sends.saturating_add(1);
-        let Some(Class { name, spec: class }) = self.generations.class(open.ask.class) else { return };
-        let again = class.effect == Effect::Safe || !open.may_have_run;
-        let once = class.effect == Effect::Unsafe;
+        let Some(Class { name, .. }) = self.generations.class(open.ask.class) else { return };
         let until = match timeout {
             0 => open.ask.give_up_at,
             t => open.ask.give_up_at.min(now + micros(t)),
         };
-        let may = ready && again && open.sends <= open.most_sends && open.out.is_none() && !open.closed;
-        if !may || until <= now {
+        let Some(to) = may.filter(|_| until > now) else {
             self.counters.stopped += 1;
             let (kind, load, closed) = (OutcomeKind::Moot, LoadReport::default(), open.closed);
             let none =
                 Outcome { id, attempt, engine, kind, latency: 0, closed, work: None, memory_mb: None, load };
             return self.tell(now, Event::Outcome(none), orders);
-        }
+        };
         self.counters.attempts += 1;
-        open.out = Some(Out { engine, attempt, sent_at: now, until, stopping: None });
+        self.counters.copies += u64::from(!open.outs.is_empty());
+        open.outs.push(Out { to, attempt, sent_at: now, until, stopping: None });
         self.deadlines.insert((until, id));
-        let (key, class, statement) = (open.ask.key.clone(), name.clone(), open.ask.statement.clone());
-        let (session, memory_mb) = (open.ask.session.clone(), open.memory_mb);
+        let job = Job {
+            id,
+            attempt,
+            key: open.ask.key.clone(),
+            class: name.clone(),
+            statement: open.ask.statement.clone(),
+            session: open.ask.session.clone(),
+            single: open.effect == Effect::Unsafe,
+            nonce: open.ask.once.clone().filter(|_| matches!(open.effect, Effect::Keyed { .. })),
+            until,
+            memory_mb: open.memory_mb,
+            urgency: open.urgency,
+        };
         let of = open.ask.class;
-        self.note(of, &key, What::Dispatch(attempt.0, engine.0));
-        let job = Job { id, attempt, key, class, once, statement, session, until, memory_mb };
+        self.note(of, &job.key, What::Dispatch(attempt.0, engine.0));
         orders.push(Order::Start(engine, job));
     }
 
-    /// Gives up what is out for a request. Its end comes back from the engine's side, once it is surely given
-    /// up there: until then nothing else may go out for it.
-    fn stop(&mut self, id: RequestId, why: End, orders: &mut Vec<Order>) {
-        let Some(out) = self.open.get_mut(&id).and_then(|open| open.out.as_mut()) else { return };
-        if out.stopping.is_none() {
-            out.stopping = Some(why);
-            self.deadlines.remove(&(out.until, id));
-            orders.push(Order::Stop(out.engine, id, out.attempt));
+    /// Memory and priority of the next attempts, and at once the priority of those that are out. What the settings do
+    /// not heed is not sent.
+    fn terms(&mut self, id: RequestId, priority: u8, memory_mb: f64, orders: &mut Vec<Order>) {
+        let heeds = self.heeds;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.memory_mb = if heeds.grants { memory_mb } else { 0.0 };
+        let urgency = Some(priority.min(MOST_URGENCY)).filter(|_| heeds.priorities);
+        if std::mem::replace(&mut open.urgency, urgency) != urgency {
+            let out = open.outs.iter().filter(|out| out.stopping.is_none());
+            let bump = |out: &Out| urgency.map(|n| Order::Bump(out.to.id, id, out.attempt, n));
+            orders.extend(out.filter_map(bump));
         }
     }
 
+    /// Gives up an attempt. Its end comes back from the engine's side, once it is surely given up there: until then it
+    /// counts as out.
+    fn stop(&mut self, id: RequestId, attempt: AttemptNo, why: End, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let out = open.outs.iter_mut().find(|out| out.attempt == attempt && out.stopping.is_none());
+        let Some(out) = out else { return };
+        out.stopping = Some(why);
+        let (engine, until) = (out.to.id, out.until);
+        if !open.due_at(until) {
+            self.deadlines.remove(&(until, id));
+        }
+        orders.push(Order::Stop(engine, id, attempt));
+    }
+
+    /// Gives up all that is out for a request.
+    fn stop_all(&mut self, id: RequestId, why: End, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let all: Vec<AttemptNo> = open.outs.iter().map(|out| out.attempt).collect();
+        all.into_iter().for_each(|attempt| self.stop(id, attempt, why, orders));
+    }
+
     fn refuse(&mut self, id: RequestId, after: Micros, orders: &mut Vec<Order>) {
         let Some(open) = self.open.get(&id).filter(|open| !open.closed) else { return };
-        let Some(Class { spec: class, .. }) = self.generations.class(open.ask.class) else { return };
         // Guards rule 2: a refusal promises that trying again is harmless.
-        if class.effect != Effect::Safe && (open.may_have_run || open.out.is_some()) {
+        if !open.may_refuse() {
             self.counters.stopped += 1;
             return self.fail(id, Failure::NotSent, orders);
         }
@@ -656,13 +563,13 @@
         self.origins.remove(&origin);
         self.deadlines.remove(&(at, id));
         orders.push(Order::Answer(origin, answer));
-        self.stop(id, End::Withdrawn, orders);
+        self.stop_all(id, End::Withdrawn, orders);
         self.forget(id);
     }
 
     /// Drops a request that is over and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if !self.open.get(&id).is_some_and(|open| open.closed && open.out.is_none()) {
+        if !self.open.get(&id).is_some_and(|open| open.closed && open.outs.is_empty()) {
             return;
         }
         let Some(open) = self.open.remove(&id) else { return };
@@ -689,6 +596,26 @@
     settings.classes.iter().zip(names).map(class).collect()
 }
 
+/// What the settings let a manager say to engines, and believe of what they say.
+#[derive(Clone, Copy)]
+struct Heeds {
+    priorities: bool,
+    grants: bool,
+    costs: bool,
+    copies: bool,
+}
+
+impl Heeds {
+    fn of(settings: &Settings) -> Heeds {
+        Heeds {
+            priorities: settings.priorities_heeded,
+            grants: settings.grants_heeded,
+            costs: settings.tells_cost,
+            copies: settings.limits.second_copies,
+        }
+    }
+}
+
 fn send_cap(settings: &Settings) -> u16 {
     settings.limits.send_cap.clamp(1, u32::from(u16::MAX)) as u16
 }
--- /dev/null
+++ b/src/manager/words.rs
@@ -0,0 +1,171 @@
+//! What fronts, engines and the core tell one another, in no wire's terms.
+use super::ends::{End, Reach};
+use crate::clock::{MS, Micros};
+use crate::interface::{AttemptNo, ClassId, EngineId, LoadReport, RequestId, TenantId};
+use std::rc::Rc;
+
+/// Which connection of which front a request came from, and the front's own mark for it there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The connection.
+    pub conn: u64,
+    /// The request on it.
+    pub tag: u64,
+}
+
+/// What a client's session adds to a statement; not every engine knows of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Session {
+    /// Where names without a schema are looked up.
+    pub database: Option<Rc<str>>,
+    /// The client's own name for the query.
+    pub query_id: Option<Rc<str>>,
+}
+
+/// A request, as a front hands it in.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Where the answer goes.
+    pub origin: Origin,
+    /// The client's name for the request, passed on unchanged.
+    pub key: Rc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// When the client stops waiting.
+    pub give_up_at: Micros,
+    /// The estimate of its work.
+    pub cost: Option<Micros>,
+    /// The estimate of its memory.
+    pub memory_mb: Option<f64>,
+    /// The client said that it tried before.
+    pub repeated: bool,
+    /// What to run.
+    pub statement: Rc<[u8]>,
+    /// What its session adds.
+    pub session: Option<Rc<Session>>,
+    /// The key that all tries of one request carry, where its client gave one.
+    pub once: Option<Rc<str>>,
+}
+
+/// Why a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Its time was up.
+    Deadline,
+    /// Its last attempt ended so.
+    Attempt(End),
+    /// It was never sent.
+    NotSent,
+    /// Its name is that of another request.
+    InUse,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// All rows, as text with tabs and line feeds.
+    Served(Vec<u8>),
+    /// Trying again is harmless; after so long, if advice is given.
+    Refused(Option<Micros>),
+    /// Nothing is promised.
+    Failed(Failure),
+    /// One that another process gave and worded, on a connection that was passed to this one.
+    Worded(Vec<u8>),
+}
+
+/// An attempt to start.
+#[derive(Clone, Debug, Default)]
+pub struct Job {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+    /// The client's name for the request.
+    pub key: Rc<str>,
+    /// The name of its class.
+    pub class: Rc<str>,
+    /// What to run.
+    pub statement: Rc<[u8]>,
+    /// What its session adds.
+    pub session: Option<Rc<Session>>,
+    /// It must never run twice.
+    pub single: bool,
+    /// The key by which engines know a repeat of it.
+    pub nonce: Option<Rc<str>>,
+    /// Its priority, where one was set and is heeded: 0 to 3.
+    pub urgency: Option<u8>,
+    /// When nobody waits for it any more.
+    pub until: Micros,
+    /// Memory to grant in MB; 0 leaves it to the engine.
+    pub memory_mb: f64,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Start an attempt.
+    Start(EngineId, Job),
+    /// Give up an attempt; its end comes back.
+    Stop(EngineId, RequestId, AttemptNo),
+    /// A new priority for an attempt that is out.
+    Bump(EngineId, RequestId, AttemptNo, u8),
+    /// Probe an engine.
+    Probe(EngineId),
+    /// Close idle connections to an engine.
+    CloseIdle(EngineId),
+    /// Give a final answer.
+    Answer(Origin, Answer),
+    /// A line of the module for the log.
+    Log(String),
+}
+
+/// An attempt that ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: AttemptNo,
+    /// How.
+    pub end: End,
+    /// How much of it went out.
+    pub reach: Reach,
+    /// With [`End::Done`]: the rows.
+    pub rows: Vec<u8>,
+    /// The engine's load, where told.
+    pub load: LoadReport,
+    /// What the query took, where told.
+    pub cost: Cost,
+}
+
+impl Ended {
+    /// The end of an attempt that brought nothing.
+    pub fn bare(id: RequestId, attempt: AttemptNo, end: End, reach: Reach) -> Ended {
+        let (rows, load, cost) = (Vec::new(), LoadReport::default(), Cost::default());
+        Ended { id, attempt, end, reach, rows, load, cost }
+    }
+}
+
+/// What an answer tells of the query's cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Work of all its threads.
+    pub work: Option<Micros>,
+    /// Memory that it needed, in MB.
+    pub memory_mb: Option<f64>,
+}
+
+/// A figure beyond this is a mistake: a day of work in milliseconds, and as many MB.
+const MOST_FIGURE: f64 = 86_400_000.0;
+
+impl Cost {
+    /// What an engine said: milliseconds of work, and MB. A figure that is missing, not positive, not finite or absurd
+    /// is as none.
+    pub fn told(work_ms: Option<f64>, memory_mb: Option<f64>) -> Cost {
+        let sound = |figure: &f64| figure.is_finite() && *figure > 0.0 && *figure <= MOST_FIGURE;
+        let work = work_ms.filter(sound).map(|ms| (ms * MS as f64) as Micros);
+        Cost { work, memory_mb: memory_mb.filter(sound) }
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -244,8 +244,7 @@
             Order::Start(engine, job) => {
                 let (id, attempt) = (job.id, job.attempt);
                 if !self.to_engine(engine, ToEngine::Start(job)) {
-                    let (end, reach, load) = (End::Overflow, Reach::Unsent, LoadReport::default());
-                    let ended = Ended { id, attempt, end, reach, rows: Vec::new(), load };
+                    let ended = Ended::bare(id, attempt, End::Overflow, Reach::Unsent);
                     self.manager.ended(now, ended, &mut self.orders);
                 }
             }
@@ -256,6 +255,9 @@
                     log!("the mailbox of engine {} overflowed", engine.0);
                 }
             }
+            Order::Bump(engine, id, attempt, urgency) => {
+                self.to_engine(engine, ToEngine::Bump(id, attempt, urgency));
+            }
             Order::Probe(engine) => {
                 // Where duties are shared out, their owner asks; without room there it is done as without duties.
                 if self.duties.as_ref().is_none_or(|duties| duties.try_send(Word::Wanted(engine.0)).is_err())
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -28,12 +28,14 @@
 const WRITE_STALL: Micros = 5 * SEC;
 
 /// What an engine's actor is told.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum ToEngine {
     /// Start an attempt.
     Start(Job),
     /// Give one up.
     Stop(RequestId, AttemptNo),
+    /// Give one a new priority.
+    Bump(RequestId, AttemptNo, u8),
     /// Probe, unless it is later than this: then whoever it was for must not any more.
     Probe(Micros),
     /// Close idle connections.
@@ -77,14 +79,14 @@
     /// reset, ends all that is on the connection, and this is lost then.
     fn takes(&self, job: &Job, spare: bool) -> bool {
         let empty = self.attempts.borrow().is_empty() && self.orders.is_empty();
-        let shares = !spare || empty || !(job.once || self.alone.get());
+        let shares = !spare || empty || !(job.single || self.alone.get());
         shares && self.free.get() > self.orders.len() && !self.stale.borrow().contains(&job.id)
     }
 
     /// Lowest first: the fullest, so that spare ones fall idle and close; but for what must never run twice one
     /// that has answered before. Guards against resets, which strike most at the first that a connection carries.
     fn rank(&self, job: &Job) -> (bool, usize) {
-        (job.once && !self.proven.get(), self.free.get())
+        (job.single && !self.proven.get(), self.free.get())
     }
 }
 
@@ -147,6 +149,11 @@
                     c.orders.close();
                 }
             }
+            // Without room for the word the attempt keeps the priority that it has.
+            ToEngine::Bump(id, ..) => {
+                let holder = conns.iter().find(|c| c.attempts.borrow().contains(&id));
+                holder.into_iter().for_each(|c| _ = c.orders.try_send(order.clone()));
+            }
             ToEngine::Probe(_) => {
                 let c = match conns.iter().find(|c| c.free.get() > 0) {
                     Some(c) => c,
@@ -188,18 +195,17 @@
 }
 
 async fn refuse(core: &Sender<Input>, job: &Job, end: End) {
-    let (id, attempt, load) = (job.id, job.attempt, LoadReport::default());
-    let ended = Ended { id, attempt, end, reach: Reach::Unsent, rows: Vec::new(), load };
+    let ended = Ended::bare(job.id, job.attempt, end, Reach::Unsent);
     let _ = core.send(Input::Ended(ended)).await;
 }
 
 /// Hands an attempt to a connection; gives it back if the connection's mailbox is full.
 fn hand_over(c: &Handle, job: Job) -> Option<Job> {
-    let (id, once) = (job.id, job.once);
+    let (id, single) = (job.id, job.single);
     match c.orders.try_send(ToEngine::Start(job)) {
         Ok(()) => {
             c.attempts.borrow_mut().insert(id);
-            c.alone.set(once);
+            c.alone.set(single);
             None
         }
         Err(e) => match e.into_inner() {
@@ -362,6 +368,7 @@
         match order {
             ToEngine::Start(job) => self.link.start(now, &job),
             ToEngine::Stop(id, attempt) => self.link.stop(now, id, attempt, &mut self.events),
+            ToEngine::Bump(id, attempt, urgency) => self.link.bump(id, attempt, urgency),
             // Looked up again here: it may have waited for the connection, or the process been stopped meanwhile.
             ToEngine::Probe(until) if now >= until => {
                 let (kind, load) = (OutcomeKind::Moot, LoadReport::default());
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -63,7 +63,8 @@
         let names = self.names.borrow().clone();
         let (_, known) = parse_known(&config.known, &names)?;
         let classes = config.names.classes.clone();
-        let next = Names { classes, dropped: BTreeSet::new(), ..(*names).clone() };
+        let keyed = config.names.keyed.clone();
+        let next = Names { classes, keyed, dropped: BTreeSet::new(), ..(*names).clone() };
         let second = self.second.as_ref().map(|second| {
             let deploy = deploy::read(&second.path)?;
             ClassRules::new(&deploy, &next)?;
@@ -79,6 +80,7 @@
         let classes = self.retune(&config).await;
         let names = Rc::new(Names {
             classes: classes.iter().map(|(class, _)| class.name.to_string()).collect(),
+            keyed: config::keyed(classes.iter().map(|(class, _)| &class.spec)),
             dropped: (0..).zip(&classes).filter(|(_, (_, in_force))| !in_force).map(|(at, _)| at).collect(),
             ..next
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -290,6 +290,11 @@
         &self.s.classes[usize::from(r.ask.class.0)]
     }
 
+    /// What repeating it may do.
+    pub(crate) fn effect(&self, r: &Request) -> Effect {
+        if r.ask.single { Effect::Unsafe } else { self.class(r).effect }
+    }
+
     pub(crate) fn learned(&self, r: &Request) -> &Learned {
         &self.learned[usize::from(r.ask.class.0)]
     }
--- a/tests/inside/clickhouse.rs
+++ b/tests/inside/clickhouse.rs
@@ -163,7 +163,7 @@
             let (id, attempt, class) = (RequestId(1), AttemptNo(0), "lookup".into());
             let (key, statement) = (Rc::from("k"), Rc::from(&b"select"[..]));
             let (session, until, memory_mb) = (None, 2 * SEC, 0.0);
-            let job = Job { id, attempt, key, class, statement, once: false, session, until, memory_mb };
+            let job = Job { id, attempt, key, class, statement, session, until, memory_mb, ..Job::default() };
             let sent = String::from_utf8(engine.start(SEC, &job)).expect("text");
             assert!(sent.starts_with("POST /?query_id=k&max_execution_time=1.000&"), "{sent}");
             let (mut heard, mut replies) = (Vec::new(), Vec::new());
@@ -174,7 +174,7 @@
             let ends: Vec<(End, &[u8])> = heard
                 .iter()
                 .filter_map(|h| {
-                    if let Heard::Ended(_, end, rows, _) = h { Some((*end, &rows[..])) } else { None }
+                    if let Heard::Ended(_, end, rows, ..) = h { Some((*end, &rows[..])) } else { None }
                 })
                 .collect();
             let rows: &[u8] = if expected == Some(End::Done) { b"a\n" } else { b"" };
--- a/tests/inside/engine.rs
+++ b/tests/inside/engine.rs
@@ -5,10 +5,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-fn job(once: bool) -> Job {
+fn job(single: bool) -> Job {
     let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), "lookup".into(), 9_000_000);
     let (key, statement, session) = ("k".into(), Rc::from(&b"select"[..]), None);
-    Job { id, attempt, key, class, statement, session, once, until, memory_mb: 0.0 }
+    Job { id, attempt, key, class, statement, session, single, until, ..Job::default() }
 }
 
 /// A connection of four streams, one attempt on it or none, which has answered before or not.
--- a/tests/inside/jsonrpc.rs
+++ b/tests/inside/jsonrpc.rs
@@ -62,3 +62,33 @@
     let refused = |s: &&Said| matches!(s, Said::TurnedAway(_, Answer::Refused(_)));
     assert_eq!((said.iter().filter(turned).count(), said.iter().filter(refused).count()), (2, 1));
 }
+
+/// Guards the second effect: the key of a keyed class passes on as it came, and one that could not is told so. Where a
+/// class has no keys, whatever stands there means nothing.
+#[test]
+fn keys_pass_unchanged_and_spoilt_ones_get_one_clear_error() {
+    let ask = |class: &str, once: Value| {
+        let mut front = front();
+        let keyed = Names { keyed: [1].into(), ..(**front.names.borrow()).clone() };
+        *front.names.borrow_mut() = Rc::new(keyed);
+        let line = rpc_line(1, class, "9b1f03aa5c7e2d41", "acme", 1_500, "insert 1");
+        let mut line: Value = serde_json::from_slice(&line).expect("a line");
+        (line["params"]["once"], line["params"]["what"]) = (once, json!("an unknown field"));
+        let (mut said, mut replies) = (Vec::new(), Vec::new());
+        front.feed(MS, format!("{line}\n").as_bytes(), &mut said, &mut replies).expect("no fault");
+        let code = serde_json::from_slice::<Value>(&replies).ok().and_then(|v| v["error"]["code"].as_i64());
+        let asked =
+            said.iter().find_map(|s| if let Said::Ask(ask) = s { Some(ask.once.clone()) } else { None });
+        (asked, code, front.last())
+    };
+    let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    assert_eq!(ask("load", json!(key)), (Some(Some(key.into())), None, false));
+    assert_eq!(ask("load", Value::Null), (Some(None), None, false));
+    for spoilt in
+        [json!(""), json!("a,b=c"), json!("a b"), json!("a\r\nundo x"), json!("é"), json!(7), json!([key])]
+    {
+        assert_eq!(ask("load", spoilt.clone()), (None, Some(INVALID_PARAMS), false), "{spoilt}");
+        assert_eq!(ask("lookup", spoilt).0, Some(None));
+    }
+    assert_eq!(ask("load", json!("x".repeat(65))).1, Some(INVALID_PARAMS));
+}
--- /dev/null
+++ b/tests/inside/ledger.rs
@@ -0,0 +1,92 @@
+//! What the ledger allows next, by what a request's attempts have done so far.
+use super::*;
+use crate::clock::{MS, SEC};
+use crate::interface::{CellId, EngineId, ZoneId};
+
+const WINDOW: Micros = 20 * SEC;
+
+fn keyed(scope: Scope) -> Effect {
+    Effect::Keyed { scope, window: nanos(WINDOW) }
+}
+
+fn engine(id: u64, zone: u16, cell: u16) -> EngineEntry {
+    EngineEntry { id: EngineId(id), zone: ZoneId(zone), cell: CellId(cell), ..EngineEntry::default() }
+}
+
+fn open(effect: Effect, copies: usize) -> Open {
+    Open {
+        ask: Ask::default(),
+        effect,
+        sends: 0,
+        most_sends: 5,
+        copies,
+        outs: Vec::new(),
+        ran: None,
+        memory_mb: 0.0,
+        urgency: None,
+        last_end: None,
+        closed: false,
+    }
+}
+
+fn out(to: EngineEntry, attempt: u16, sent_at: Micros) -> Out {
+    Out { to, attempt: AttemptNo(attempt), sent_at, until: SEC, stopping: None }
+}
+
+/// Guards rule 2: what may have run goes only where a repeat is known, and while it is.
+#[test]
+fn a_repeat_goes_only_where_engines_know_it() {
+    let (here, cell, zone, far) = (engine(1, 0, 0), engine(2, 0, 0), engine(3, 0, 1), engine(4, 1, 2));
+    let goes = |effect, now| {
+        let open = Open { ran: Some(Ran { on: here, sent_at: SEC }), sends: 1, ..open(effect, 1) };
+        [here, cell, zone, far].map(|to| open.may_send(now, &to))
+    };
+    let (within, past) = (SEC + WINDOW - MS, SEC + WINDOW);
+    assert_eq!(goes(keyed(Scope::All), within), [true; 4]);
+    assert_eq!(goes(keyed(Scope::Zone), within), [true, true, true, false]);
+    assert_eq!(goes(keyed(Scope::Cell), within), [true, true, false, false]);
+    assert_eq!(goes(keyed(Scope::All), past), [false; 4]);
+    assert_eq!(goes(Effect::Unsafe, within), [false; 4]);
+    assert_eq!(goes(Effect::Safe, past), [true; 4]);
+}
+
+/// Guards rule 2 and the limits on attempts out: a copy counts like any attempt, and goes to another engine.
+#[test]
+fn copies_go_to_another_engine_within_the_rules() {
+    let (here, there, further) = (engine(1, 0, 0), engine(2, 0, 0), engine(3, 0, 0));
+    let with = |effect, copies| Open { outs: vec![out(here, 0, SEC)], sends: 1, ..open(effect, copies) };
+    assert!(with(Effect::Safe, 2).may_send(SEC, &there) && !with(Effect::Safe, 2).may_send(SEC, &here));
+    assert!(with(keyed(Scope::All), 2).may_send(SEC, &there));
+    assert!(!with(keyed(Scope::All), 2).may_send(SEC + WINDOW, &there), "what is out may have run");
+    assert!(!with(Effect::Unsafe, 2).may_send(SEC, &there) && !with(Effect::Safe, 1).may_send(SEC, &there));
+    let mut two = with(Effect::Safe, 2);
+    two.outs.push(out(there, 1, SEC));
+    assert!(!two.may_send(SEC, &further));
+    // One that is being given up is still out.
+    two.outs[0].stopping = Some(End::Withdrawn);
+    assert!(!two.may_send(SEC, &further) && two.due_at(SEC));
+    assert!(two.take_out(AttemptNo(0)).is_some() && two.take_out(AttemptNo(0)).is_none());
+    assert!(two.may_send(SEC, &further) && !two.may_send(SEC, &there));
+    let spent = Open { sends: 5, ..open(Effect::Safe, 2) };
+    assert!(
+        !spent.may_send(SEC, &here) && !Open { closed: true, ..open(Effect::Safe, 2) }.may_send(SEC, &here)
+    );
+}
+
+/// Guards rule 2: a refusal says that trying again does no harm.
+#[test]
+fn a_refusal_is_honest() {
+    let here = engine(1, 0, 0);
+    for (effect, ran, is_out) in [
+        (Effect::Safe, true, true),
+        (keyed(Scope::All), true, true),
+        (keyed(Scope::Zone), false, false),
+        (keyed(Scope::Cell), false, false),
+        (Effect::Unsafe, false, false),
+    ] {
+        let fresh = open(effect, 2);
+        assert!(fresh.may_refuse());
+        assert_eq!(Open { ran: Some(Ran { on: here, sent_at: SEC }), ..open(effect, 2) }.may_refuse(), ran);
+        assert_eq!(Open { outs: vec![out(here, 0, SEC)], ..open(effect, 2) }.may_refuse(), is_out);
+    }
+}
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -5,7 +5,7 @@
 use crate::clock::{MS, Micros};
 use crate::config::Names;
 use crate::interface::{AttemptNo, RequestId};
-use crate::manager::Job;
+use crate::manager::{Cost, Job};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -93,8 +93,7 @@
                 let (id, key) = (RequestId(self.started), format!("{:016x}", self.started).into());
                 let (class, statement, until) =
                     ("lookup".into(), Rc::from(&b"select"[..]), self.now + 1_000 * MS);
-                let (attempt, memory_mb, session) = (AttemptNo(0), 0.0, None);
-                let job = Job { id, attempt, key, class, statement, once: false, session, until, memory_mb };
+                let job = Job { id, key, class, statement, until, ..Job::default() };
                 self.link.start(self.now, &job);
                 self.on_it.insert(self.started, Attempt::default());
             }
@@ -173,17 +172,7 @@
     for id in 1..=2 {
         let (key, statement) = (format!("k{id}").into(), Rc::from(&b"select"[..]));
         let (attempt, class, until) = (AttemptNo(0), "lookup".into(), 9_000 * MS);
-        let job = Job {
-            id: RequestId(id),
-            attempt,
-            key,
-            class,
-            statement,
-            once: false,
-            session: None,
-            until,
-            memory_mb: 0.0,
-        };
+        let job = Job { id: RequestId(id), attempt, key, class, statement, until, ..Job::default() };
         link.start(0, &job);
     }
     while let Some(n) = link.to_write().map(<[u8]>::len) {
@@ -255,7 +244,7 @@
         let (id, attempt, class, until) = (RequestId(1), AttemptNo(0), "lookup".into(), 9_000 * MS);
         link.start(
             0,
-            &Job { id, attempt, key, class, once: true, statement, session, until, memory_mb: 0.0 },
+            &Job { id, attempt, key, class, single: true, statement, session, until, ..Job::default() },
         );
         let head = link.to_write().expect("a head").to_vec();
         assert!(head.ends_with(b" 6\r\ninser"), "{head:?}");
@@ -274,3 +263,51 @@
         );
     }
 }
+
+/// The key, the grant and the priority stand in the command as the wire words them, and a new priority follows it.
+#[test]
+fn keys_priorities_and_costs_pass_on_the_platforms_wire() {
+    let mut link = Link::new(0, Platform::new(Rc::new(Names { streams: 4, ..Names::default() })));
+    let job = Job {
+        id: RequestId(1),
+        key: "k1".into(),
+        class: "plan-load".into(),
+        statement: Rc::from(&b"insert"[..]),
+        nonce: Some("5c0f6e1a".into()),
+        memory_mb: 95.2,
+        urgency: Some(2),
+        until: 9_000 * MS,
+        ..Job::default()
+    };
+    link.start(0, &job);
+    // Before its own words are out as well as after.
+    link.bump(RequestId(1), AttemptNo(0), 3);
+    link.bump(RequestId(1), AttemptNo(1), 0);
+    link.bump(RequestId(2), AttemptNo(0), 0);
+    let mut written = Vec::new();
+    while let Some(bytes) = link.to_write().map(<[u8]>::to_vec) {
+        link.wrote(0, bytes.len());
+        written.extend(bytes);
+    }
+    let fields = "cls=plan-load,limit=9000,nonce=5c0f6e1a,allot=96,urgency=2";
+    assert_eq!(String::from_utf8_lossy(&written), format!("do k1 {fields} 6\r\ninsert\r\nbump k1 3\r\n"));
+    let mut events = Vec::new();
+    link.read(MS, b"k1 DONE sheets=1,toil=412.5,room=96 6\r\na\tb\tc\n\r\n", &mut events);
+    let [Event::Ended(ended)] = &events[..] else { panic!("{events:?}") };
+    assert_eq!(ended.cost, Cost { work: Some(412_500), memory_mb: Some(96.0) });
+    // What has ended has no priority.
+    link.bump(RequestId(1), AttemptNo(0), 1);
+    assert!(link.to_write().is_none());
+}
+
+/// Guards what classes teach: a figure that can't be one is as none, and spoils nothing else of the answer.
+#[test]
+fn costs_that_can_not_be_are_as_none() {
+    for (toil, room) in [("", ""), ("x", "y"), ("-4", "-1"), ("0", "0"), ("NaN", "inf"), ("1e300", "1e99")] {
+        let (mut link, mut events) = (link(), Vec::new());
+        let text = format!("k1 DONE sheets=1,toil={toil},room={room},more=1 6\r\na\tb\tc\n\r\n");
+        link.read(MS, text.as_bytes(), &mut events);
+        let [Event::Ended(ended)] = &events[..] else { panic!("{events:?}") };
+        assert!(ended.end == End::Done && ended.cost == Cost::default(), "{toil} {room}: {ended:?}");
+    }
+}
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -1,5 +1,6 @@
 //! The core under random steps: one answer for each request, never two attempts out, loads that may have run not
 //! sent again, and books that balance, whatever is configured meanwhile.
+use super::ends::Reach;
 use super::*;
 use crate::clock::{MS, SEC};
 use crate::settings;
@@ -124,9 +125,7 @@
                     self.ids.insert(job.id, tag);
                 }
                 Order::Stop(_, id, attempt) => {
-                    let load = LoadReport::default();
-                    let (end, reach, rows) = (End::Withdrawn, Reach::Sent, Vec::new());
-                    more.push(Ended { id, attempt, end, reach, rows, load });
+                    more.push(Ended::bare(id, attempt, End::Withdrawn, Reach::Sent));
                 }
                 Order::Answer(origin, answer) => {
                     let seen = self.seen.get_mut(&origin.tag).ok_or("an answer for nobody")?;
@@ -139,7 +138,7 @@
                         return Err("a load that may have run was refused".into());
                     }
                 }
-                Order::Probe(_) | Order::CloseIdle(_) | Order::Log(_) => {}
+                Order::Bump(..) | Order::Probe(_) | Order::CloseIdle(_) | Order::Log(_) => {}
             }
         }
         more.into_iter().try_for_each(|ended| self.end(ended))
@@ -177,6 +176,7 @@
                     repeated: false,
                     statement: Rc::from(&b"select 1"[..]),
                     session: None,
+                    once: None,
                 };
                 self.manager.take(self.now, ask, &mut orders);
             }
@@ -186,14 +186,7 @@
                 let Some(&(id, attempt)) = out.get(usize::from(*n) % out.len().max(1)) else { return Ok(()) };
                 let unsent = matches!(end, End::Refused | End::Drained) || !(*sent || *end == End::Done);
                 let reach = if unsent { Reach::Unsent } else { Reach::Sent };
-                let ended = Ended {
-                    id,
-                    attempt,
-                    end: *end,
-                    reach,
-                    rows: b"a\n".to_vec(),
-                    load: LoadReport::default(),
-                };
+                let ended = Ended { rows: b"a\n".to_vec(), ..Ended::bare(id, attempt, *end, reach) };
                 // The same end twice: the second one counts for nothing.
                 self.end(ended.clone())?;
                 self.end(ended)?;
@@ -322,3 +315,102 @@
     let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(80, 13)).tests(500);
     check.quickcheck(walk as fn(Vec<Step>) -> Result<bool, String>);
 }
+
+/// A core of one gateway whose loads carry keys, where priorities and costs count.
+fn keyed_manager() -> Manager {
+    let mut text = crate::kit::daemon::settings();
+    (text["classes"][2]["semantics"], text["classes"][2]["window_ns"]) =
+        ("token".into(), 20_000_000_000u64.into());
+    (text["extra"]["ranks_heeded"], text["extra"]["says_cost"]) = (true.into(), true.into());
+    let settings = settings::parse(text.to_string().as_bytes()).expect("settings");
+    let mut manager = Manager::new(SEC, settings, &["lookup", "report", "load"].map(str::to_owned), 7);
+    let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
+    manager.list(SEC, ListKind::Cached, all, &mut Vec::new());
+    manager
+}
+
+/// Takes a load and answers each of its attempts with a reset, for as long as there are any.
+fn resets(once: Option<&str>) -> (Vec<Option<Rc<str>>>, Option<Answer>) {
+    let (mut manager, mut now, mut nonces, mut answer) = (keyed_manager(), SEC, Vec::new(), None);
+    let ask = Ask {
+        origin: Origin { conn: 1, tag: 1 },
+        key: "9b1f03aa5c7e2d41".into(),
+        class: ClassId(2),
+        give_up_at: 16 * SEC,
+        cost: Some(50 * MS),
+        once: once.map(Into::into),
+        ..Ask::default()
+    };
+    let mut orders = Vec::new();
+    manager.take(now, ask, &mut orders);
+    for _ in 0..20 {
+        for order in std::mem::take(&mut orders) {
+            match order {
+                Order::Start(_, job) => {
+                    assert_eq!(job.single, once.is_none());
+                    nonces.push(job.nonce.clone());
+                    let ended = Ended::bare(job.id, job.attempt, End::Reset, Reach::Sent);
+                    manager.ended(now, ended, &mut orders);
+                }
+                Order::Answer(_, given) => answer = Some(given),
+                _ => {}
+            }
+        }
+        now += 100 * MS;
+        manager.due(now, &mut orders);
+    }
+    (nonces, answer)
+}
+
+/// Guards rule 2: all tries of a keyed request carry its key unchanged, and without one there is a single try.
+#[test]
+fn a_keyed_request_repeats_under_its_key_alone() {
+    let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    let (nonces, answer) = resets(Some(key));
+    assert_eq!(nonces, vec![Some(Rc::from(key)); 3], "as many as the settings allow");
+    assert!(matches!(answer, Some(Answer::Refused(_))), "{answer:?}");
+    assert_eq!(resets(None), (vec![None], Some(Answer::Failed(Failure::Attempt(End::Reset)))));
+}
+
+/// Priorities go out where they are heeded, at once for what runs; costs reach the module.
+#[test]
+fn priorities_and_costs_count_where_the_settings_heed_them() {
+    let mut manager = keyed_manager();
+    let mut orders = Vec::new();
+    let ask = |tag: u64| Ask {
+        origin: Origin { conn: 1, tag },
+        key: format!("{tag:016x}").into(),
+        give_up_at: 6 * SEC,
+        cost: Some(50 * MS),
+        ..Ask::default()
+    };
+    manager.take(SEC, ask(1), &mut orders);
+    let started = |orders: &[Order]| {
+        orders.iter().find_map(|o| if let Order::Start(e, job) = o { Some((*e, job.clone())) } else { None })
+    };
+    let (engine, job) = started(&orders).expect("sent");
+    assert_eq!(job.urgency, Some(3), "a short query comes first");
+    let mut orders = Vec::new();
+    manager.terms(job.id, 9, 0.0, &mut orders);
+    assert!(orders.is_empty(), "the highest there is, as before: {orders:?}");
+    manager.terms(job.id, 0, 0.0, &mut orders);
+    assert!(matches!(orders[..], [Order::Bump(e, id, n, 0)] if (e, id, n) == (engine, job.id, job.attempt)));
+    let cost = Cost { work: Some(80 * MS), memory_mb: Some(9.0) };
+    let done = Ended { cost, ..Ended::bare(job.id, job.attempt, End::Done, Reach::Sent) };
+    manager.ended(SEC + 50 * MS, done, &mut Vec::new());
+    assert!((manager.module.learned[0].work - 0.08).abs() < 1e-9, "{}", manager.module.learned[0].work);
+    // Neither counts where the settings say nothing of it.
+    let mut plain = Model::new().manager;
+    let mut orders = Vec::new();
+    plain.take(SEC, ask(1), &mut orders);
+    let (_, job) = started(&orders).expect("sent");
+    let mut orders = Vec::new();
+    plain.terms(job.id, 0, 0.0, &mut orders);
+    assert!(orders.is_empty() && job.urgency.is_none());
+    plain.ended(
+        SEC + 50 * MS,
+        Ended { cost, ..Ended::bare(job.id, job.attempt, End::Done, Reach::Sent) },
+        &mut orders,
+    );
+    assert!((plain.module.learned[0].work - 0.08).abs() > 1e-3);
+}
