--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,6 @@
 const PROBE_DEAR: f64 = 0.03; // Price of a probe, in parts of a usual query, that a choice is not worth.
 const PROBE_WAIT: Nanos = 30_000_000; // Longest wait of a query for its probes.
 const PUMP_MOST: usize = 32; // Held queries tried at one outcome: its cost must not grow with the queue.
-const BEATS_MOST: u32 = 8; // Peers that hear a beat, at random: to all, the price grows with the square.
-const HEARTBEAT: Nanos = 1_000_000_000; // Gateways that may talk say this often that they live.
 const SMOOTH: f64 = 0.1; // Weight of a new sample in smoothed figures: about the last ten samples.
 const FADE: f64 = 0.2; // Part by which slowness without news fades a period: forgotten in about ten seconds.
 const LEARN: f64 = 0.02; // Least weight of a sample in what a class has taught: about the last fifty.
@@ -194,13 +192,13 @@
             Event::Note { id, attempt, note } => self.on_note(now, id, attempt, note, acts),
             Event::ClientGone(id) => self.on_gone(id, acts),
             Event::Timer(SWEEP) => self.on_sweep(now, acts),
-            Event::Peer { .. } => self.beats += 1.0,
             Event::Probed { engine, kind, latency, load } => {
                 self.on_report(now, engine, &load);
                 self.on_probe(now, engine, kind, secs(latency));
                 self.pump(now, acts);
             }
-            Event::Timer(_) | Event::FirstByte { .. } => {}
+            // What gateways may tell one another is the fleet's membership's, not the module's.
+            Event::Timer(_) | Event::FirstByte { .. } | Event::Peer { .. } => {}
         }
     }
 
@@ -973,9 +971,6 @@
         if now.saturating_sub(self.updated_at) >= PERIOD {
             self.update_bounds(now);
         }
-        if self.s.limits.may_tell && now.saturating_sub(self.told_at) >= HEARTBEAT {
-            self.beat(now, acts);
-        }
         let span = self.s.rules.extra.map_or(0, |b| b.span);
         let from = now.saturating_sub(span + SWEEP_EVERY);
         self.taken.retain(|t| *t >= from);
@@ -1027,22 +1022,6 @@
         (f.cores, f.bound) = (cores, bound);
     }
 
-    /// Where gateways may talk, a beat a second to a few others tells how many live; parts of the dead pass
-    /// to the rest. A cut between live ones could overfill warm engines, never cold ones.
-    fn beat(&mut self, now: Nanos, acts: &mut Vec<Action>) {
-        let (me, others) = (self.s.me, self.s.gateways.max(1) - 1);
-        let told = others.min(BEATS_MOST);
-        let first = self.rng.next_u32() % others.max(1);
-        let peers = (0..told).map(|i| (first + i * (others / told)) % others);
-        let tell = |p: u32| Action::Tell { peer: Some(if p < me { p } else { p + 1 }), data: vec![1] };
-        acts.extend(peers.map(tell));
-        // Each living one is heard with the chance that its draw falls here; two beats may be lost.
-        let share = self.beats / f64::from(told.max(1));
-        self.alive += if self.told_at == 0 { 0.0 } else { FADE * (share.min(2.0) - self.alive) };
-        self.sharers = (1.0 + self.alive * f64::from(others)).min(f64::from(others) + 1.0);
-        (self.told_at, self.beats) = (now, 0.0);
-    }
-
     /// Far past its time where others get on, a query most likely stands still for a load of another gateway:
     /// others on that data keep off, until one of them gets through or this one is over.
     fn find_standing(&mut self, now: Nanos, acts: &mut Vec<Action>) {
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -66,7 +66,6 @@
 impl Manager {
     /// A core that knows nothing but its settings.
     pub fn new(now: Micros, settings: Settings, names: &[String], seed: u64) -> Manager {
-        let settings = mute(settings);
         let mut manager = Manager {
             generations: Generations::new(named(&settings, names)),
             send_cap: send_cap(&settings),
@@ -98,7 +97,7 @@
         let classes = self.generations.slots().map(|(class, _)| class.spec.clone()).collect();
         self.send_cap = send_cap(&settings);
         self.heeds = Heeds::of(&settings);
-        self.module.retune(Settings { classes, ..mute(settings) }, &fresh);
+        self.module.retune(Settings { classes, ..settings }, &fresh);
         self.list_classes(names);
     }
 
@@ -582,13 +581,6 @@
     }
 }
 
-/// The module's own beats are not carried between managers: the fleet's membership counts who lives. Guards the shares:
-/// a module that waits for beats which never come takes all other managers for dead, and their parts for its own.
-fn mute(mut settings: Settings) -> Settings {
-    settings.limits.may_tell = false;
-    settings
-}
-
 /// The classes of the settings under their names.
 fn named(settings: &Settings, names: &[String]) -> Vec<Class> {
     let class =
--- a/src/state.rs
+++ b/src/state.rs
@@ -216,12 +216,9 @@
     pub(crate) taken: VecDeque<Nanos>,
     pub(crate) extras: VecDeque<Nanos>,
     pub(crate) cancels: f64,
-    pub(crate) beats: f64, // Heard since the last one sent, and the smoothed share of others that live.
-    pub(crate) alive: f64,
     pub(crate) sharers: f64, // Gateways taken to share the engines now.
     pub(crate) part: f64,    // Of what this gateway may use, while another process is this gateway too.
     pub(crate) updated_at: Nanos,
-    pub(crate) told_at: Nanos,
     pub(crate) turn_at: Nanos, // When it last had a turn, and when it last woke after having had none.
     pub(crate) woke_at: Nanos,
     pub(crate) swept_at: Nanos,
@@ -245,12 +242,9 @@
             taken: VecDeque::new(),
             extras: VecDeque::new(),
             cancels: 0.0,
-            beats: 0.0,
-            alive: 1.0,
             sharers: f64::from(s.gateways.max(1)),
             part: 1.0,
             updated_at: now,
-            told_at: 0,
             turn_at: now,
             woke_at: 0,
             swept_at: now,
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -257,8 +257,8 @@
     }
 }
 
-/// Guards the engines where the settings let managers talk: nobody carries the module's own beats, so a module that
-/// waited for them would take all others for dead and use their parts.
+/// Guards the engines where the settings let managers talk: nobody carries words between modules, so one that waited for
+/// them would take all others for dead and use their parts.
 #[test]
 fn a_manager_whose_beats_nobody_carries_keeps_to_its_part() {
     let sent = |peers: bool| {
