Split the decision code into src/policy by concern, changing no decision

Need: the operators want the decision code in small modules. src/decide.rs (1,126 lines) becomes src/policy: bounds, reports, choice, cold, held, attempts, anew, health, fleet.

--- a/src/bin/yokelift-drill/main.rs
+++ b/src/bin/yokelift-drill/main.rs
@@ -7,8 +7,8 @@
 use frames::{Reader, put_action};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use yokelift::decide::Gateway;
 use yokelift::interface::*;
+use yokelift::policy::Gateway;
 use yokelift::settings;
 
 /// A frame longer than this is taken for a broken length field.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! A workload manager in front of shared query engines, and the decisions it goes by.
 //!
-//! [`decide::Gateway`] is a state machine without I/O: feed it [`interface::Event`]s with the time they came
+//! [`policy::Gateway`] is a state machine without I/O: feed it [`interface::Event`]s with the time they came
 //! in and carry out the [`interface::Action`]s it appends. Everything it knows comes from
 //! [`interface::Settings`] and those events.
 #![forbid(unsafe_code)]
@@ -13,7 +13,6 @@
 pub mod audit;
 pub mod clock;
 pub mod config;
-pub mod decide;
 pub mod deploy;
 pub mod directory;
 pub mod duties;
@@ -28,6 +27,7 @@
 pub mod manager;
 pub mod membership;
 pub mod net;
+pub mod policy;
 pub mod settings;
 pub mod spool;
 mod state;
--- a/src/manager/ledger.rs
+++ b/src/manager/ledger.rs
@@ -3,6 +3,7 @@
 use super::words::Ask;
 use crate::clock::{Micros, nanos};
 use crate::interface::{AttemptNo, Effect, EngineEntry, Scope};
+use crate::state::may_repeat;
 
 /// An attempt that is out.
 pub struct Out {
@@ -69,18 +70,7 @@
 
     fn repeats(&self, now: Micros, to: &EngineEntry) -> bool {
         let Some(Ran { on, sent_at }) = self.first() else { return true };
-        match self.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { scope, window } => {
-                let knows = match scope {
-                    Scope::All => true,
-                    Scope::Zone => on.zone == to.zone,
-                    Scope::Cell => on.cell == to.cell,
-                };
-                knows && nanos(now) < nanos(sent_at).saturating_add(window)
-            }
-        }
+        may_repeat(self.effect, nanos(sent_at), Some((on, *to)), nanos(now))
     }
 
     /// Whether a refusal is honest: it promises that trying again is harmless.
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -10,9 +10,9 @@
 
 use crate::audit::{Decision, What};
 use crate::clock::{MS, Micros, micros, nanos};
-use crate::decide::Gateway;
 use crate::generations::{Class, Generations};
 use crate::interface::*;
+use crate::policy::Gateway;
 use crate::statement;
 use counters::{Counters, Figures};
 use ends::{End, never_ran, outcome};
--- /dev/null
+++ b/src/policy/attempts.rs
@@ -0,0 +1,164 @@
+//! Requests and their attempts: taken, sent, ended, answered.
+use super::*;
+
+const CANCEL_SHARE: f64 = 0.1; // Cancels per query taken: engines slow as a whole must cause no storm.
+const QUOTA_BURST: f64 = 2.0; // Bursts within a tenant's quota, seconds of its rate...
+
+impl Gateway {
+    pub(super) fn on_request(&mut self, now: Nanos, ask: NewRequest, acts: &mut Vec<Action>) {
+        if usize::from(ask.class.0) >= self.s.classes.len() || self.requests.contains_key(&ask.id) {
+            return;
+        }
+        self.taken.push_back(now);
+        let mut over_share = false;
+        if let Some(t) = self.tenants.get_mut(usize::from(ask.tenant.0)).filter(|t| t.quota > 0.0) {
+            let rate = t.quota / self.sharers;
+            let filled = t.tokens + rate * secs(now.saturating_sub(t.filled_at));
+            (t.tokens, t.filled_at) = (filled.min((rate * QUOTA_BURST).max(QUOTA_LEAST)), now);
+            // A query that comes again was counted at its first try.
+            over_share = t.tokens < 1.0 && !ask.repeated;
+            t.tokens -= if over_share || ask.repeated { 0.0 } else { 1.0 };
+        }
+        let most_sends = self.s.limits.send_cap;
+        let r = Request { ask, arrived: now, over_share, most_sends, ..Request::default() };
+        if let (true, Some(key)) = (self.class(&r).in_order, ask.key) {
+            self.keys.entry(key).or_default().line.push_back(ask.id);
+        }
+        self.cancels = (self.cancels + CANCEL_SHARE).min(CANCEL_SPARE);
+        // Ti counts a query once, for the engine where it would fit best.
+        let some = self.candidates();
+        let fits =
+            some.iter().filter_map(|id| self.engines.get(id)).filter(|e| placed(self.class(&r), &e.entry));
+        let room = |e: &Engine| e.bound / self.sharers - e.running.threads;
+        let best = fits.max_by(|a, b| room(a).total_cmp(&room(b))).map(|e| e.entry.id);
+        if let Some(e) = best.and_then(|id| self.engines.get_mut(&id)) {
+            e.window.wanted += 1.0;
+        }
+        self.requests.insert(ask.id, r);
+        self.probe(now, ask.id, acts);
+        match self.choose(now, ask.id) {
+            Some(engine) => self.send(now, ask.id, engine, acts),
+            None => self.hold(now, ask.id),
+        }
+    }
+
+    pub(super) fn send(&mut self, now: Nanos, id: RequestId, engine: EngineId, acts: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (alone, threads, long) = (self.alone(r), self.threads(r), self.is_long(r));
+        let (weight, is_load, group) = (self.cold_weight(r), self.class(r).is_load, r.ask.group);
+        let hopeless = r.over_share || now + nanos(alone) > self.aim_end(r);
+        self.extras.extend((r.sends > 0).then_some(now));
+        let thin = self.engines.get(&engine).is_some_and(|e| self.thin(e, threads));
+        let told = self.engines.get(&engine).map_or(0.0, |e| self.load(now, e));
+        let Some(e) = self.engines.get_mut(&engine) else { return };
+        let load = if thin { told } else { e.running.threads * self.sharers };
+        let crowd = (if load.is_finite() { load } else { 0.0 } + threads) / e.cores;
+        let running = Running { queries: 1.0, threads, short: if long { 0.0 } else { threads } };
+        // What engines hold is what was sent, not asked: else counts of short ones pass for long ones.
+        let before = self.fleet.mix;
+        self.fleet.mix.add(before, -LEARN);
+        self.fleet.mix.add(running, alone);
+        e.since += threads;
+        e.sent_at = now;
+        e.cold_sent.extend((e.warmth(now, &self.s.rules) < 1.0).then_some((now, weight)));
+        if is_load {
+            *e.held_groups.entry(group).or_default() += 1;
+        }
+        e.health = if e.health == Health::HalfOpen(None) { Health::HalfOpen(Some(id)) } else { e.health };
+        let expected = alone * e.stretch.max(1.0);
+        self.carry(now, engine, running, 1.0);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.out =
+            Some(Out { engine, sent: now, alone, expected, running, crowd, life_at: now, cancelling: false });
+        r.sends += 1;
+        r.tried.insert(engine);
+        if self.s.priorities_heeded {
+            let priority = [if long { 1 } else { 3 }, 0][usize::from(hopeless)];
+            acts.push(Action::Terms { id, priority, memory_mb: 0.0 });
+        }
+        acts.push(Action::Send { id, engine, timeout: 0 });
+    }
+
+    /// The final answer of a request that will not be served: refused where that is honest, else failed.
+    pub(super) fn give_up(&mut self, id: RequestId, come_back: Nanos, acts: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        r.done = true;
+        let class = &self.s.classes[usize::from(r.ask.class.0)];
+        let may_refuse = match if r.ask.single { Effect::Unsafe } else { class.effect } {
+            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => r.ran_on.is_none() && r.out.is_none(),
+        };
+        if may_refuse {
+            // It will come again, and count again: retries must not use up a tenant's share.
+            if let Some(t) = self.tenants.get_mut(usize::from(r.ask.tenant.0)).filter(|_| !r.over_share) {
+                t.tokens += 1.0;
+            }
+            let limit = self.s.limits.max_retry_after;
+            // After what waits now, and spread, lest all come back at once.
+            let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            let wait = secs(come_back).max(self.fleet.backlog) * spread;
+            acts.push(Action::Refuse { id, retry_after: nanos(wait).min(limit) });
+        } else {
+            acts.push(Action::Fail { id });
+        }
+        self.forget(id);
+    }
+
+    pub(super) fn on_gone(&mut self, id: RequestId, acts: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.done = true;
+        self.withdraw(id, acts);
+        self.forget(id);
+    }
+
+    pub(super) fn on_outcome(&mut self, now: Nanos, o: &Outcome, acts: &mut Vec<Action>) {
+        let id = o.id;
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let last = r.sends == u32::from(o.attempt.0) + 1;
+        let Some(out) = r.out.take_if(|_| last) else { return };
+        r.done |= o.closed;
+        let never_ran = matches!(o.kind, OutcomeKind::Full | OutcomeKind::ConnectFailed | OutcomeKind::Moot);
+        r.ran_on = r.ran_on.or((!never_ran).then_some((o.engine, out.sent)));
+        let (ask, is_load) = (r.ask, self.s.classes[usize::from(r.ask.class.0)].is_load);
+        self.carry(now, out.engine, out.running, -1.0);
+        let Some(e) = self.engines.get_mut(&out.engine) else { return };
+        if e.report.is_none_or(|(at, _)| at <= out.sent) {
+            e.since = (e.since - out.running.threads).max(0.0);
+        }
+        if is_load {
+            *e.held_groups.entry(ask.group).or_insert(1) -= 1;
+            e.held_groups.retain(|_, n| *n > 0);
+        }
+        // What paid off gives its cancel back: losses do not use up the stock, slow engines do.
+        if o.kind == OutcomeKind::Ok && o.attempt.0 > 0 {
+            self.cancels = (self.cancels + 1.0).min(CANCEL_SPARE);
+        }
+        // What came while this gateway stood still is as old as that: it tells nothing of engines.
+        if o.kind == OutcomeKind::Ok && self.woke_at != now {
+            self.learn(&ask, o, &out);
+        }
+        self.on_report(now, out.engine, &o.load);
+        self.judge(now, o, &out);
+        if let Some(k) = ask.key.and_then(|k| self.keys.get_mut(&k))
+            && matches!(o.kind, OutcomeKind::Timeout | OutcomeKind::Reset | OutcomeKind::Cancelled)
+        {
+            k.rest_until = now + self.s.rules.key_rest + self.s.tick;
+        }
+        self.again_or_end(now, id, acts);
+        self.pump(now, acts);
+    }
+
+    /// After an attempt without success: hold for another one, or end the request now.
+    fn again_or_end(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if r.done {
+            return self.forget(id);
+        }
+        let time_left = now + nanos(self.alone(r)) < r.ask.give_up_at;
+        if time_left && self.effect_allows(now, r, None) && r.sends < r.most_sends.max(1) {
+            self.hold(now, id);
+        } else {
+            self.give_up(id, SWEEP_EVERY, acts);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/cold.rs
@@ -0,0 +1,54 @@
+//! Cold engines: what a gateway may send to one that started a while ago.
+use super::*;
+
+const COLD_MARGIN: f64 = 0.55; // Margin on the cold budget: clocks, slow machines, work not known ahead.
+const MIX: u64 = 0x9E37_79B9_7F4A_7C15; // 2^64 over the golden ratio: multiples spread evenly on a circle.
+
+impl Engine {
+    /// Share of usual capacity that a started engine surely has: the start share, then a late-rising curve.
+    pub(super) fn warmth(&self, now: Nanos, rules: &Rules) -> f64 {
+        if self.entry.ready_at == 0 || self.entry.ready_at.saturating_add(rules.warm_within) <= now {
+            return 1.0;
+        }
+        let age = secs(now.saturating_sub(self.entry.ready_at)) / secs(rules.warm_within.max(1));
+        rules.cold_from + (1.0 - rules.cold_from) * age * age
+    }
+}
+
+impl Gateway {
+    /// Rule 4: work sent to a cold engine by all gateways in the stated window stays in the budget. A part
+    /// that holds the query is kept by counting; below that, whole queries go out in turns.
+    pub(super) fn cold_allows(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
+        let (rules, warmth) = (&self.s.rules, e.warmth(now, &self.s.rules));
+        let rate = rules.fall_multiple * warmth * e.cores * USUAL_BUSY * COLD_MARGIN;
+        let budget = self.part * rate * secs(rules.fall_window);
+        let part = budget / f64::from(self.s.gateways.max(1));
+        let from = now.saturating_sub(rules.fall_window);
+        let weight = self.cold_weight(r);
+        let sent: f64 = e.cold_sent.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
+        // Half for each of short and long, whose turns lie across the circle lest short ones use up both.
+        let holders = budget / (2.0 * (COLD_SLOTS + 1) as f64 * weight.max(1e-3));
+        let (slot, across) = (rules.fall_window / COLD_SLOTS, if self.is_long(r) { 0.5 } else { 0.0 });
+        let in_turn = || weight > part && sent <= 0.0 && self.has_slot(now, e, slot, holders, across);
+        warmth >= 1.0 || sent + weight <= part || in_turn()
+    }
+
+    /// Weighs a query for that budget by its class and its hint, whichever says more.
+    pub(super) fn cold_weight(&self, r: &Request) -> f64 {
+        let l = self.learned(r);
+        let guess = if l.samples < ENOUGH { secs(self.class(r).promise) * self.threads(r) } else { 0.0 };
+        guess.max(l.work).max(self.work(r))
+    }
+
+    /// Whether this gateway is among the `holders` that have a turn on an engine now, and has not used it.
+    /// Gateways stand evenly on a circle; an arc of `holders` of them is let in, and moves on by the golden
+    /// ratio each slot: whole gateways, `holders` of them on average, also where that is a fraction.
+    pub(super) fn has_slot(&self, now: Nanos, e: &Engine, slot: Nanos, holders: f64, across: f64) -> bool {
+        let gateways = self.s.gateways.max(1);
+        let circle = |x: u64| (x.wrapping_mul(MIX) >> 11) as f64 / (1u64 << 53) as f64;
+        let place = f64::from(self.s.me % gateways) / f64::from(gateways) + circle(e.entry.id.0);
+        let turn = now / slot.max(1);
+        let used = e.sent_at > 0 && e.sent_at / slot.max(1) == turn;
+        !used && (place + 1.0 + across - circle(turn)).fract() < holders / f64::from(gateways)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,5 @@
-//! What a gateway remembers, as plain data: no decisions, no tuned values. `src/decide.rs` decides.
+//! What a gateway remembers, as plain data, and what the rules say of it: no decisions, no tuned values.
+//! `src/policy/` decides.
 use crate::interface::*;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -271,6 +272,15 @@
         self.sharers = f64::from(gateways.clamp(1, self.s.gateways.max(1))) / self.part;
     }
 
+    /// Own queries there, so many times more; brings the time integrals of its window up to now.
+    pub(crate) fn carry(&mut self, now: Nanos, engine: EngineId, running: Running, times: f64) {
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.count(now);
+            e.running.add(running, times);
+            self.fleet.running.add(running, times);
+        }
+    }
+
     /// Drops a request that is over and has nothing out, and passes on its key's turn.
     pub(crate) fn forget(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
@@ -280,6 +290,22 @@
         self.requests.remove(&id);
     }
 
+    /// Rule 5: the head of its key's line, after the rest that follows an attempt which may still run.
+    pub(crate) fn has_turn(&self, now: Nanos, id: RequestId, r: &Request) -> bool {
+        let (true, Some(key)) = (self.class(r).in_order, r.ask.key) else { return true };
+        let Some(k) = self.keys.get(&key) else { return false };
+        k.line.front() == Some(&id) && now >= k.rest_until
+    }
+
+    /// Rule 7: attempts beyond the first, over any window of the stated length.
+    pub(crate) fn budget_allows(&self, now: Nanos) -> bool {
+        let Some(b) = self.s.rules.extra else { return true };
+        let from = now.saturating_sub(b.span);
+        let extras = self.extras.iter().filter(|t| **t >= from).count() as f64;
+        let taken = self.taken.iter().rev().take_while(|t| **t > from).count() as f64;
+        extras + 1.0 <= b.spare + b.ratio * taken
+    }
+
     pub(crate) fn class(&self, r: &Request) -> &ClassSpec {
         &self.s.classes[usize::from(r.ask.class.0)]
     }
@@ -323,6 +349,23 @@
     (secs(c.promise) + c.aim_stretch * work / c.threads.max(1.0)).max(1e-3)
 }
 
+/// Rule 2: what was sent then and may have run goes again only to engines that discard its duplicates, while they
+/// remember it. The pair: where it went, and where it would go; none if either is not known, or not chosen yet.
+pub fn may_repeat(effect: Effect, sent: Nanos, pair: Option<(EngineEntry, EngineEntry)>, now: Nanos) -> bool {
+    match effect {
+        Effect::Safe => true,
+        Effect::Unsafe => false,
+        Effect::Keyed { scope, window } => {
+            let same = pair.is_none_or(|(first, next)| match scope {
+                Scope::All => true,
+                Scope::Zone => first.zone == next.zone,
+                Scope::Cell => first.cell == next.cell,
+            });
+            same && now < sent.saturating_add(window)
+        }
+    }
+}
+
 /// Rule 6: the zones and kinds a class is bound to.
 pub fn placed(class: &ClassSpec, entry: &EngineEntry) -> bool {
     class.only_zones.as_ref().is_none_or(|z| z.contains(&entry.zone))
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -81,7 +81,7 @@
         if odd(2) {
             s.rules.fall_window = S;
         }
-        let rig = Rig { g: yokelift::decide::Gateway::new(T0, s.clone(), seed), now: T0 };
+        let rig = Rig { g: yokelift::policy::Gateway::new(T0, s.clone(), seed), now: T0 };
         let mut w = World {
             s,
             rig,
