--- a/src/bin/yokelift-drill/main.rs
+++ b/src/bin/yokelift-drill/main.rs
@@ -161,7 +161,7 @@
     let give_up_at = r.u64("NEW_REQUEST give_up_at_ns")?;
     let cost = r.u64("NEW_REQUEST cost_ns")?;
     let memory = f64::from(r.f32("NEW_REQUEST ram_mb")?);
-    let group = u64::from(r.f32("NEW_REQUEST table_group")?.to_bits());
+    let group = u64::from(r.f32("NEW_REQUEST table_group")?.to_bits()) + 1;
     let marks = r.u16("NEW_REQUEST marks")?;
     Ok(Event::Request(NewRequest {
         id,
--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -200,6 +200,13 @@
         }
     }
 
+    /// An attempt takes longer than it should, and another one goes beside it. Guards what follows against a connection
+    /// that swallows all that is sent on it: without a sign of life since it carries nothing new.
+    pub fn doubt(&mut self, id: RequestId, attempt: AttemptNo) {
+        let on_it = self.on_it.get(&id).filter(|a| a.attempt == attempt && a.reach != Reach::Unsent);
+        self.suspect |= on_it.is_some_and(|a| self.heard_at <= a.sent_at);
+    }
+
     /// Gives an attempt a new priority. It follows the attempt's own words, so that none comes first.
     pub fn bump(&mut self, id: RequestId, attempt: AttemptNo, urgency: u8) {
         if self.on_it.get(&id).is_some_and(|a| a.attempt == attempt && a.settles.is_none()) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -303,7 +303,7 @@
     pub work_hint: Option<Nanos>,
     /// Estimated memory in MB.
     pub memory_hint: Option<f64>,
-    /// The data set that it reads.
+    /// The data set that it reads; 0 if that is not known.
     pub group: u64,
     /// The client said that it tried before.
     pub repeated: bool,
--- a/src/kit/clients.rs
+++ b/src/kit/clients.rs
@@ -69,6 +69,13 @@
     line
 }
 
+/// The same for a keyed class: the key that all tries of one request carry.
+pub fn keyed_line(once: &str, line: &[u8]) -> Vec<u8> {
+    let mut message: Value = serde_json::from_slice(line).unwrap_or_default();
+    message["params"]["once"] = once.into();
+    format!("{message}\n").into_bytes()
+}
+
 /// What a line of the platform's protocol says.
 pub fn rpc_got(line: &[u8]) -> Got {
     let Ok(answer) = serde_json::from_slice::<Value>(line) else { return Got::Cut };
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -11,7 +11,7 @@
 /// The zones.
 pub const ZONES: [&str; 2] = ["ground", "first"];
 /// The kinds of machine.
-pub const KINDS: [&str; 1] = ["std-8core"];
+pub const KINDS: [&str; 2] = ["std-8core", "std-12core"];
 
 /// The settings that a rehearsal uses: one gateway, two tenants, the usual three classes.
 pub fn settings() -> Value {
@@ -25,9 +25,9 @@
         "orgs": [{"name": "billing-desk", "quota_rps": 63.0, "share": 0.62},
             {"name": "channel-desk", "quota_rps": 39.0, "share": 0.38}],
         "over_share_worth": 0.05, "discovery": "push", "load_info": {"fields": ["backlog", "utilization"], "how": "pull"},
-        "extra": {"class_threads": [1, 3, 2], "cores_by_kind": [8], "loads": [false, false, true],
+        "extra": {"class_threads": [1, 3, 2], "cores_by_kind": [8, 12], "loads": [false, false, true],
             "blocked_by_loads": [true, false, false], "takes_grants": true, "most_grant": 0.4,
-            "out_of_memory": "wait", "ram_of_kind_mb": [16384.0], "note_period_ns": 0},
+            "out_of_memory": "wait", "ram_of_kind_mb": [16384.0, 24576.0], "note_period_ns": 0},
         "invariants": {"answer_slack_ns": 20_000_000, "drain_grace_ns": 250_000_000, "cold_from": 0.32,
             "warm_within_ns": 15_000_000_000u64, "fall_multiple": 3.0, "fall_ns": 2_000_000_000},
         "limits": {"send_cap": 3, "may_cancel": true, "probing": true, "peers": false, "retry_after": true,
@@ -96,6 +96,7 @@
     coordinator: SocketAddr,
     folder: Folder,
     known: Value,
+    settings: Value,
 }
 
 impl Daemon {
@@ -107,11 +108,13 @@
         deploy: Option<&str>,
         sockets: usize,
         console: bool,
+        settings: Value,
     ) -> Result<Daemon, String> {
         let folder = Folder::new().map_err(|e| e.to_string())?;
         let listen = free_addr();
-        let text = config(listen, coordinator, known, sockets).to_string();
-        let path = folder.put("config.json", &text).map_err(|e| e.to_string())?;
+        let mut text = config(listen, coordinator, known, sockets);
+        text["settings"] = settings.clone();
+        let path = folder.put("config.json", &text.to_string()).map_err(|e| e.to_string())?;
         let console = console.then(free_addr);
         let mut command = command(program, &folder, listen, console);
         command.env("PROXY_CONFIG", path);
@@ -123,7 +126,7 @@
         let child = child.map_err(|e| format!("{}: {e}", program.display()))?;
         let (older, starts, known) = (None, 1, known.clone());
         let mut daemon =
-            Daemon { child, listen, console, older, starts, sockets, coordinator, folder, known };
+            Daemon { child, listen, console, older, starts, sockets, coordinator, folder, known, settings };
         for _ in 0..2_000 {
             if clients::green(listen).await {
                 return Ok(daemon);
@@ -199,6 +202,7 @@
     /// Writes a configuration with other classes (`NAME:SEMANTICS`) and another number of attempts, and says so.
     pub fn retune(&self, words: &[&str]) -> Result<(), String> {
         let mut text = config(self.listen, self.coordinator, &self.known, self.sockets);
+        text["settings"] = self.settings.clone();
         let usual = text["settings"]["classes"].as_array().cloned().unwrap_or_default();
         let mut classes = Vec::new();
         for word in words {
@@ -229,7 +233,11 @@
 
     /// Writes a new configuration that names another coordinator, or one that can't be used, and says so.
     pub fn reload(&self, coordinator: Option<SocketAddr>) -> Result<(), String> {
-        let good = |at| config(self.listen, at, &self.known, 1_024).to_string();
+        let good = |at| {
+            let mut text = config(self.listen, at, &self.known, 1_024);
+            text["settings"] = self.settings.clone();
+            text.to_string()
+        };
         let text = coordinator.map_or("{".to_owned(), good);
         self.folder.put("config.json", &text).map_err(|e| e.to_string())?;
         self.signal(rustix::process::Signal::HUP);
--- a/src/kit/engines.rs
+++ b/src/kit/engines.rs
@@ -4,7 +4,7 @@
 use crate::http::{self, Body, Head};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -31,6 +31,9 @@
 struct State {
     name: String,
     http: bool,
+    /// Queries that it runs at once, and those that it runs.
+    sessions: usize,
+    running: Cell<usize>,
     script: RefCell<VecDeque<Act>>,
     book: Book,
     /// Its connections.
@@ -61,10 +64,17 @@
 impl Engine {
     /// Starts one.
     pub fn start(executor: &Executor, name: &str, http: bool, book: Book) -> Engine {
+        Engine::with(executor, name, http, book, usize::MAX)
+    }
+
+    /// Starts one of a model that runs so many queries at once and turns away what is more.
+    pub fn with(executor: &Executor, name: &str, http: bool, book: Book, sessions: usize) -> Engine {
         let (listener, addr) = listener();
         let state = Rc::new(State {
             name: name.to_owned(),
             http,
+            sessions,
+            running: Cell::new(0),
             script: RefCell::default(),
             book,
             streams: RefCell::default(),
@@ -103,7 +113,8 @@
 
 impl State {
     fn act(&self) -> Act {
-        self.script.borrow_mut().pop_front().unwrap_or(Act::Rows(1, 3))
+        let any = self.book.any.borrow_mut().pop_front();
+        any.or_else(|| self.script.borrow_mut().pop_front()).unwrap_or(Act::Rows(1, 3))
     }
 }
 
@@ -138,7 +149,7 @@
         let words: Vec<&str> = line.split(' ').collect();
         let mut used = end + 2;
         match words[..] {
-            ["do", id, _, length] => {
+            ["do", id, fields, length] => {
                 let length: usize = length.parse().unwrap_or(0);
                 while input.len() < used + length + 2 {
                     match (&**stream).read(&mut buffer).await {
@@ -149,11 +160,13 @@
                 if input.len() < used + length + 2 {
                     break;
                 }
-                let run = state.book.begin(&state.name, &input[used..used + length]);
+                let fields = fields.split(',').filter_map(|f| f.split_once('='));
+                let fields = fields.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
+                let run = state.book.begin_with(&state.name, &input[used..used + length], fields);
                 let query = state.book.runs.borrow()[run].query.clone();
                 used += length + 2;
                 lines.borrow_mut().runs.insert(id.to_owned(), run);
-                let act = state.act();
+                let act = if state.running.get() < state.sessions { state.act() } else { Act::Full };
                 if act == Act::Reset {
                     hang_up(stream);
                     break;
@@ -168,6 +181,10 @@
                 let run = lines.borrow_mut().runs.remove(id);
                 run.into_iter().for_each(|run| state.book.end(run, RunEnd::GivenUp));
             }
+            ["bump", id, urgency] => {
+                let run = lines.borrow().runs.get(id).copied();
+                run.into_iter().for_each(|run| state.book.bump(run, urgency));
+            }
             ["page", id, n] => {
                 let n: usize = n.parse().unwrap_or(0);
                 let sheet = lines.borrow().sheets.get(id).and_then(|s| s.get(n)).cloned();
@@ -205,7 +222,11 @@
 ) {
     let (text, how) = match act {
         Act::Rows(ms, count) => {
+            // What it knows by its key it does not run again: the answer is there.
+            let ms = if state.book.runs.borrow()[run].dropped { 0 } else { ms };
+            state.running.set(state.running.get() + 1);
             pause(ms).await;
+            state.running.set(state.running.get() - 1);
             if !state.book.runs_on(run) {
                 return;
             }
@@ -213,13 +234,16 @@
             let all: Vec<&str> = rows.split_inclusive('\n').collect();
             let sheets: Vec<String> = all.chunks(SHEET).map(<[&str]>::concat).collect();
             let first = sheets.first().cloned().unwrap_or_default();
-            let fields = format!("sheets={}", sheets.len().max(1));
+            let fields = format!("sheets={},toil={ms},room=8", sheets.len().max(1));
             lines.borrow_mut().sheets.insert(id.to_owned(), sheets);
             (format!("{id} DONE {fields} {}\r\n{first}\r\n", first.len()), RunEnd::Answered)
         }
         // More pages than there are: the engine has lost them by the time they are asked for.
         Act::Late => (format!("{id} DONE sheets=3 6\r\na\tb\tc\n\r\n"), RunEnd::Answered),
-        Act::Full => (format!("{id} WAIT - 0\r\n\r\n"), RunEnd::TurnedAway),
+        Act::Full => {
+            state.book.unknown(run);
+            (format!("{id} WAIT - 0\r\n\r\n"), RunEnd::TurnedAway)
+        }
         Act::Break => (format!("{id} BROKE - 0\r\n\r\n"), RunEnd::Answered),
         Act::Garble => ("what is this\r\n".to_owned(), RunEnd::Answered),
         Act::Hang | Act::Reset => return,
--- a/src/kit/mod.rs
+++ b/src/kit/mod.rs
@@ -16,7 +16,8 @@
 use crate::clock::{self, Micros};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -77,6 +78,12 @@
     pub engine: String,
     /// It changes what it touches.
     pub load: bool,
+    /// What stood with it, where the wire has fields: its key, its grant, its priority.
+    pub fields: BTreeMap<String, String>,
+    /// A repeat that the engines knew by its key: it changed nothing.
+    pub dropped: bool,
+    /// Priorities that it was given while it ran, in order.
+    pub bumps: Vec<String>,
     /// When it had come whole.
     pub from: Micros,
     /// When and how it ended.
@@ -95,6 +102,28 @@
     runs: Rc<RefCell<Vec<Run>>>,
     drains: Rc<RefCell<Vec<Drain>>>,
     probes: Rc<RefCell<Vec<(String, Micros)>>>,
+    /// When the first run under each key began.
+    keys: Rc<RefCell<BTreeMap<String, Micros>>>,
+    terms: Rc<Cell<Terms>>,
+    /// What whichever engine gets the next query does with it.
+    any: Rc<RefCell<VecDeque<engines::Act>>>,
+}
+
+/// What the settings allow, as the rules need it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Attempts of a request that may be out together.
+    pub copies: usize,
+    /// Attempts that it may have.
+    pub attempts: usize,
+    /// How long all engines together know a key.
+    pub window: Micros,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms { copies: 1, attempts: 3, window: 0 }
+    }
 }
 
 /// The drain rule's time, with the extra that sockets have.
@@ -103,11 +132,31 @@
 impl Book {
     /// A query came; the number of its run.
     pub fn begin(&self, engine: &str, statement: &[u8]) -> usize {
+        self.begin_with(engine, statement, BTreeMap::new())
+    }
+
+    /// What the settings allow.
+    pub fn allow(&self, terms: Terms) {
+        self.terms.set(terms);
+    }
+
+    /// A query came with fields; the number of its run.
+    pub fn begin_with(&self, engine: &str, statement: &[u8], fields: BTreeMap<String, String>) -> usize {
         let text = String::from_utf8_lossy(statement);
         let query =
             text.rsplit("/* ").next().and_then(|t| t.split(" */").next()).unwrap_or_default().to_owned();
         let load = text.trim_start().to_ascii_lowercase().starts_with("insert");
-        let run = Run { query, engine: engine.to_owned(), load, from: clock::turn(), end: None };
+        let from = clock::turn();
+        let known = |key: &String| {
+            let mut keys = self.keys.borrow_mut();
+            keys.retain(|_, at| *at + self.terms.get().window > from);
+            let known = keys.contains_key(key);
+            keys.entry(key.clone()).or_insert(from);
+            known
+        };
+        let dropped = fields.get("nonce").is_some_and(known);
+        let engine = engine.to_owned();
+        let run = Run { query, engine, load, fields, dropped, bumps: Vec::new(), from, end: None };
         self.runs.borrow_mut().push(run);
         self.runs.borrow().len() - 1
     }
@@ -118,6 +167,24 @@
         *end = end.or(Some((clock::turn(), how)));
     }
 
+    /// Whichever engine gets the next query does this with it.
+    pub fn next(&self, act: engines::Act) {
+        self.any.borrow_mut().push_back(act);
+    }
+
+    /// It was given a new priority.
+    pub fn bump(&self, run: usize, urgency: &str) {
+        self.runs.borrow_mut()[run].bumps.push(urgency.to_owned());
+    }
+
+    /// It was turned away after all: its key is not known by it.
+    pub fn unknown(&self, run: usize) {
+        let runs = self.runs.borrow();
+        if let Some(key) = runs[run].fields.get("nonce").filter(|_| !runs[run].dropped) {
+            self.keys.borrow_mut().remove(key);
+        }
+    }
+
     /// Whether it still runs.
     pub fn runs_on(&self, run: usize) -> bool {
         self.runs.borrow()[run].end.is_none()
@@ -158,15 +225,20 @@
         let (runs, mut broken) = (self.runs.borrow(), Vec::new());
         for (at, run) in runs.iter().enumerate() {
             let others = || runs.iter().take(at).filter(|o| o.query == run.query);
-            if others().any(|o| o.end.is_none_or(|(end, _)| end > run.from)) {
-                broken.push(format!("{}: two attempts were out at once", run.query));
+            let Terms { copies, attempts, window } = self.terms.get();
+            let open = |o: &&Run| o.end.is_none_or(|(end, _)| end > run.from);
+            if others().filter(open).count() >= copies {
+                broken.push(format!("{}: more attempts were out at once than may be", run.query));
             }
             let ran = |o: &&Run| o.end.is_none_or(|(_, how)| how != RunEnd::TurnedAway);
-            if run.load && others().any(|o| ran(&o)) {
+            // Under one key, and while engines know it, a repeat changes nothing.
+            let key = |run: &Run| run.fields.get("nonce").cloned();
+            let known = |o: &Run| key(o).is_some() && key(o) == key(run) && run.from < o.from + window;
+            if run.load && others().any(|o| ran(&o) && !known(o)) {
                 broken.push(format!("{}: a load was sent again after it may have run", run.query));
             }
-            if others().count() >= 3 {
-                broken.push(format!("{}: more than three attempts", run.query));
+            if others().count() >= attempts {
+                broken.push(format!("{}: more than {attempts} attempts", run.query));
             }
             let late = |d: &&Drain| {
                 d.engine == run.engine
--- a/src/kit/script.rs
+++ b/src/kit/script/mod.rs
@@ -3,14 +3,19 @@
 //! | step | what it does |
 //! | --- | --- |
 //! | `engine NAME platform\|clickhouse` | an engine; before `start` |
+//! | `engine NAME platform KIND SESSIONS` | one of that kind of machine, which runs so many queries at once |
+//! | `set POINTER JSON` | another figure in the settings, such as `/limits/second_copies true`; before `start` |
 //! | `user NAME KEY TENANT` | a user of the deploy file; before `start` |
 //! | `tenant NAME SHARE`, `person NAME KEY TENANT` | entries of a directory; a tenant of `-` is none |
 //! | `sockets COUNT` | the descriptors that the daemon may hold; before `start` |
 //! | `occupy` | another program takes the port that the second front was to have; before `start` |
 //! | `start` | starts the daemon and waits until it is ready |
-//! | `on ENGINE rows MS COUNT\|full\|break\|hang\|reset\|late\|garble` | what the engine does with its next query |
+//! | `on ENGINE rows MS COUNT\|full\|break\|hang\|reset\|late\|garble` | what the engine does with its next query; `any`: whichever gets the next |
 //! | `ask NAME rpc CLASS TENANT WAIT-MS STATEMENT` | a query over JSON-RPC |
 //! | `ask NAME http USER KEY SECONDS STATEMENT` | a query over HTTP |
+//! | `ask NAME keyed KEY CLASS TENANT WAIT-MS STATEMENT` | the same with a key, or `-` for none |
+//! | `sent NAME FIELD VALUE` | compares a field of its last attempt, as the engine had it |
+//! | `dropped NAME COUNT` | how many of its attempts engines knew by their key |
 //! | `raw NAME rpc\|http TEXT` | bytes as they are, with `\r`, `\n` and `\0`; `ends` or a status is its end |
 //! | `mute NAME rpc\|http COUNT` | so many clients connect and say nothing |
 //! | `stay NAME rpc\|http COUNT` | so many clients ask once and keep their connections |
@@ -45,9 +50,11 @@
 //! | `term` | asks the daemon to end |
 //! | `ended` | waits for its end, which has to be clean |
 //! | `counter NAME VALUE` | compares a counter, after `ended` |
+mod deployment;
+
 use super::clients::{self, Got, Kept};
 use super::coordinator::{self, Coordinator};
-use super::daemon::{Daemon, KINDS, ZONES, free_addr};
+use super::daemon::{self, Daemon, KINDS, ZONES, free_addr};
 use super::directory::Directory;
 use super::engines::{Act, Engine, rows};
 use super::{Book, Executor, eventually, in_time, pause};
@@ -75,6 +82,9 @@
     coordinator: Coordinator,
     directory: Option<Directory>,
     engines: BTreeMap<String, (Engine, u32)>,
+    /// The kinds of machine of engines that are not of the first.
+    kinds: BTreeMap<String, u16>,
+    settings: serde_json::Value,
     users: String,
     daemon: Option<Daemon>,
     sockets: usize,
@@ -98,6 +108,8 @@
         coordinator: Coordinator::start(&executor),
         directory: None,
         engines: BTreeMap::new(),
+        kinds: BTreeMap::new(),
+        settings: daemon::settings(),
         users: String::new(),
         daemon: None,
         sockets: 1_024,
@@ -149,7 +161,8 @@
 
     fn listed(&self, name: &str, readiness: Readiness) -> Result<Listed, String> {
         let (engine, number) = self.engines.get(name).ok_or("no such engine")?;
-        Ok(listed(*number, engine.addr, readiness, (0, 0, 0), 1.0, 0))
+        let kind = self.kinds.get(name).copied().unwrap_or(0);
+        Ok(listed(*number, engine.addr, readiness, (0, kind, 0), 1.0, 0))
     }
 
     fn deploy(&self) -> String {
@@ -179,6 +192,12 @@
                 let number = self.engines.len() as u32 + 1;
                 self.engines.insert(name.to_owned(), (engine, number));
             }
+            ["engine", name, "platform", kind, sessions] => {
+                self.model(name, kind, number(sessions)? as usize)?
+            }
+            ["set", pointer, ..] => self.set(pointer, line.splitn(3, ' ').nth(2).unwrap_or_default())?,
+            ["sent", name, field, value] => self.sent(name, field, value)?,
+            ["dropped", name, count] => self.dropped(name, number(count)? as usize)?,
             ["user", name, key, tenant] => {
                 let _ = writeln!(self.users, "[[user]]\nname = \"{name}\"\nkey = \"{key}\"");
                 if tenant != "-" {
@@ -194,11 +213,20 @@
                 let known = coordinator::known(&all, &ZONES, &KINDS);
                 let second = !self.users.is_empty() || self.directory.is_some();
                 let at = self.coordinator.addr;
+                self.book.allow(deployment::terms(&self.settings));
                 // Guards against a verdict by chance: a port that was free may be taken before the daemon has it.
                 for tries in 1.. {
                     let deploy = self.deploy();
                     let deploy = Some(deploy.as_str()).filter(|_| second);
-                    let started = Daemon::start(self.program, at, &known, deploy, self.sockets, self.console);
+                    let started = Daemon::start(
+                        self.program,
+                        at,
+                        &known,
+                        deploy,
+                        self.sockets,
+                        self.console,
+                        self.settings.clone(),
+                    );
                     match started.await {
                         Err(e) if tries < 5 && e.contains("Address already in use") => {
                             self.http = free_addr()
@@ -211,8 +239,7 @@
                 }
             }
             ["on", name, ref act @ ..] => {
-                let (engine, _) = self.engines.get(name).ok_or("no such engine")?;
-                engine.next(match act {
+                let act = match act {
                     ["rows", ms, count] => Act::Rows(number(ms)?, number(count)? as usize),
                     ["full"] => Act::Full,
                     ["break"] => Act::Break,
@@ -221,7 +248,12 @@
                     ["late"] => Act::Late,
                     ["garble"] => Act::Garble,
                     _ => return Err("no such act".into()),
-                });
+                };
+                match self.engines.get(name) {
+                    None if name == "any" => self.book.next(act),
+                    None => return Err("no such engine".into()),
+                    Some((engine, _)) => engine.next(act),
+                }
             }
             ["console"] => self.console = true,
             ["call", method, path, status] => {
@@ -463,6 +495,16 @@
         let named = |statement: &[&str]| format!("{} /* {name} */", statement.join(" "));
         let listen = self.daemon.as_ref().ok_or("not started")?.listen;
         let task = match words {
+            ["keyed", once, class, tenant, wait, statement @ ..] => {
+                let wait = wait.parse().map_err(|_| "the wait is no number")?;
+                let key = format!("{:016x}", self.queries.len() + 1);
+                let line = clients::rpc_line(1, class, &key, tenant, wait, &named(statement));
+                let line = if *once == "-" { line } else { clients::keyed_line(once, &line) };
+                self.executor.spawn(async move {
+                    let ended = clients::rpc_or_leave(listen, &line, &leave).await;
+                    *end.borrow_mut() = Some(ended);
+                })
+            }
             ["rpc", class, tenant, wait, statement @ ..] => {
                 let wait = wait.parse().map_err(|_| "the wait is no number")?;
                 let key = format!("{:016x}", self.queries.len() + 1);
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -256,6 +256,7 @@
         self.statements += ask.statement.len();
         self.next_id = self.next_id.wrapping_add(1);
         let id = RequestId(self.next_id);
+        let schema = ask.session.as_ref().and_then(|s| s.database.as_deref());
         let event = Event::Request(NewRequest {
             id,
             class: ask.class,
@@ -264,7 +265,7 @@
             give_up_at: nanos(ask.give_up_at),
             work_hint: ask.cost.map(nanos),
             memory_hint: ask.memory_mb,
-            group: statement::group(&ask.statement, ask.session.as_ref().and_then(|s| s.database.as_deref())),
+            group: statement::group(&ask.statement, schema).map_or(0, |group| group.wrapping_add(1)),
             repeated: ask.repeated,
             single: effect == Effect::Unsafe,
         });
@@ -481,6 +482,8 @@
         };
         self.counters.attempts += 1;
         self.counters.copies += u64::from(!open.outs.is_empty());
+        let late = open.outs.iter().filter(|out| out.stopping.is_none());
+        orders.extend(late.map(|out| Order::Doubt(out.to.id, id, out.attempt)));
         open.outs.push(Out { to, attempt, sent_at: now, until, stopping: None });
         self.deadlines.insert((until, id));
         let job = Job {
--- a/src/manager/words.rs
+++ b/src/manager/words.rs
@@ -109,6 +109,8 @@
     Start(EngineId, Job),
     /// Give up an attempt; its end comes back.
     Stop(EngineId, RequestId, AttemptNo),
+    /// Another attempt goes beside this one, which takes longer than it should.
+    Doubt(EngineId, RequestId, AttemptNo),
     /// A new priority for an attempt that is out.
     Bump(EngineId, RequestId, AttemptNo, u8),
     /// Probe an engine.
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -255,6 +255,9 @@
                     log!("the mailbox of engine {} overflowed", engine.0);
                 }
             }
+            Order::Doubt(engine, id, attempt) => {
+                self.to_engine(engine, ToEngine::Doubt(id, attempt));
+            }
             Order::Bump(engine, id, attempt, urgency) => {
                 self.to_engine(engine, ToEngine::Bump(id, attempt, urgency));
             }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -34,6 +34,8 @@
     Start(Job),
     /// Give one up.
     Stop(RequestId, AttemptNo),
+    /// One takes longer than it should.
+    Doubt(RequestId, AttemptNo),
     /// Give one a new priority.
     Bump(RequestId, AttemptNo, u8),
     /// Probe, unless it is later than this: then whoever it was for must not any more.
@@ -149,8 +151,8 @@
                     c.orders.close();
                 }
             }
-            // Without room for the word the attempt keeps the priority that it has.
-            ToEngine::Bump(id, ..) => {
+            // Without room for the word the attempt keeps the priority that it has, and its connection its good name.
+            ToEngine::Bump(id, ..) | ToEngine::Doubt(id, _) => {
                 let holder = conns.iter().find(|c| c.attempts.borrow().contains(&id));
                 holder.into_iter().for_each(|c| _ = c.orders.try_send(order.clone()));
             }
@@ -368,6 +370,7 @@
         match order {
             ToEngine::Start(job) => self.link.start(now, &job),
             ToEngine::Stop(id, attempt) => self.link.stop(now, id, attempt, &mut self.events),
+            ToEngine::Doubt(id, attempt) => self.link.doubt(id, attempt),
             ToEngine::Bump(id, attempt, urgency) => self.link.bump(id, attempt, urgency),
             // Looked up again here: it may have waited for the connection, or the process been stopped meanwhile.
             ToEngine::Probe(until) if now >= until => {
--- a/src/policy/anew.rs
+++ b/src/policy/anew.rs
@@ -7,32 +7,53 @@
 const STANDS_LEAST: Nanos = 200_000_000; // A query is taken to stand still for a load no sooner than this...
 const STANDS: Nanos = 500_000_000; // ...and others on its data there to do so for so long after it was seen.
 const SILENT_COUNT: usize = 2; // How many such attempts make an engine silent.
+const TAIL_LEAST: f64 = 1.5; // Where much room is free it is sent anew after so many expected times.
 const BAD_PLAN: f64 = 1.5; // A plan is bad if its progress points to this many times the tail.
 
 impl Gateway {
     /// Whether withdrawing its attempt could be followed by another.
     fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
-        let safe = self.class(r).effect == Effect::Safe && self.s.limits.may_cancel && !r.done;
-        safe && r.sends < r.most_sends && self.budget_allows(now)
+        let again = self.s.limits.may_cancel && !r.done && self.effect_allows(now, r, None);
+        again && r.sends < r.most_sends && self.budget_allows(now)
     }
 
     /// Withdraws its attempt to try anew, if that can still be in time and the stock of cancels allows.
-    fn try_anew(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
+    fn try_anew(&mut self, now: Nanos, id: RequestId, attempt: AttemptNo, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let in_time = now + nanos(self.alone(r)) < self.useful_end(r);
         if self.cancels >= 1.0 && in_time && self.may_try_again(now, r) {
+            // While much room is free the first runs on beside its copy. What is keyed is never given up for one.
+            let beside = self.s.limits.second_copies && self.idle();
+            if beside || self.effect(r) != Effect::Safe {
+                if let Some(engine) = self.choose(now, id).filter(|_| beside) {
+                    self.cancels -= 1.0;
+                    self.send(now, id, engine, acts);
+                }
+                return;
+            }
             self.cancels -= 1.0;
-            self.withdraw(id, acts);
+            self.withdraw(id, attempt, acts);
         }
     }
 
-    pub(super) fn withdraw(&mut self, id: RequestId, acts: &mut Vec<Action>) {
+    /// Room enough for what runs twice.
+    fn idle(&self) -> bool {
+        self.fleet.mean.threads <= USUAL_BUSY * self.fleet.bound / self.sharers
+    }
+
+    pub(super) fn withdraw_all(&mut self, id: RequestId, acts: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let all: Vec<AttemptNo> = r.outs.iter().map(|o| o.attempt).collect();
+        all.into_iter().for_each(|attempt| self.withdraw(id, attempt, acts));
+    }
+
+    fn withdraw(&mut self, id: RequestId, attempt: AttemptNo, acts: &mut Vec<Action>) {
         let may = self.s.limits.may_cancel;
         let Some(r) = self.requests.get_mut(&id).filter(|_| may) else { return };
-        let Some(o) = r.out.as_mut().filter(|o| !o.cancelling) else { return };
+        let Some(o) = r.out(attempt).filter(|o| !o.cancelling) else { return };
         o.cancelling = true;
         r.replans += 1;
-        acts.push(Action::Cancel { id, attempt: AttemptNo(r.sends as u16 - 1) });
+        acts.push(Action::Cancel { id, attempt });
     }
 
     /// Progress shows a bad plan early: cancel and try elsewhere, if that can still be in time.
@@ -44,15 +65,20 @@
         note: Note,
         acts: &mut Vec<Action>,
     ) {
-        let mine = self.requests.get_mut(&id).filter(|r| r.sends == u32::from(attempt.0) + 1);
-        let Some(o) = mine.and_then(|r| r.out.as_mut()) else { return };
+        let Some(o) = self.requests.get_mut(&id).and_then(|r| r.out(attempt)) else { return };
         o.life_at = now;
         let (engine, sent, cancelling, alone) = (o.engine, o.sent, o.cancelling, o.alone);
+        let (group, due) = (self.requests[&id].ask.group, 2 * self.s.note_period);
+        // A query that stands still for a load on its data is not slow, nor is its engine: it goes where the data
+        // is free, and this gateway keeps others off for a while. Harms where the load was about to end.
+        let stands = note == Note::WaitsForLoad;
         if let Some(e) = self.engines.get_mut(&engine) {
             e.life_at = now;
+            e.stood_still.retain(|_, until| *until > now);
+            e.stood_still.extend(stands.then_some((group, now + due)));
         }
-        if note == Note::WaitsForLoad {
-            return self.stands_still(now, id, engine, acts);
+        if stands {
+            return self.try_anew(now, id, attempt, acts);
         }
         let Note::Progress(share) = note else { return };
         let share = share.min(1.0);
@@ -68,50 +94,39 @@
         if may && ((in_time && bad && r.replans < 2) || hopeless) {
             self.cancels -= 1.0;
             let again = in_time && bad && r.replans < 2;
-            self.withdraw(id, acts);
+            self.withdraw(id, attempt, acts);
             if !again {
                 self.give_up(id, SWEEP_EVERY, acts);
             }
         }
     }
 
-    /// A query that stands still for a load on its data is not slow, nor is its engine: it goes where the
-    /// data is free, and this gateway keeps others off for a while. Harms where the load was about to end.
-    fn stands_still(&mut self, now: Nanos, id: RequestId, engine: EngineId, acts: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
-        let group = r.ask.group;
-        if let Some(e) = self.engines.get_mut(&engine) {
-            e.stood_still.retain(|_, until| *until > now);
-            e.stood_still.insert(group, now + 2 * self.s.note_period);
-        }
-        self.try_anew(now, id, acts);
-    }
-
     /// Far past its time where others get on, a query most likely stands still for a load of another gateway:
     /// others on that data keep off, until one of them gets through or this one is over.
     fn find_standing(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         let usual = SILENT_TIMES * self.fleet.median_stretch.max(1.0);
         let mut found = Vec::new();
         for r in self.requests.values().filter(|r| self.class(r).waits_for_loads) {
-            let Some(o) = r.out.as_ref().filter(|o| !o.cancelling) else { continue };
-            let late = secs(now.saturating_sub(o.sent)) > (usual * o.alone).max(secs(STANDS_LEAST));
-            if late && self.engines.get(&o.engine).is_some_and(|e| e.life_at > o.sent) {
-                found.push((r.ask.id, r.ask.group, o.engine));
+            for o in r.outs.iter().filter(|o| !o.cancelling) {
+                let late = secs(now.saturating_sub(o.sent)) > (usual * o.alone).max(secs(STANDS_LEAST));
+                if late && self.engines.get(&o.engine).is_some_and(|e| e.life_at > o.sent) {
+                    found.push((r.ask.id, o.attempt, r.ask.group, o.engine));
+                }
             }
         }
-        for &(_, group, engine) in &found {
+        for &(_, _, group, engine) in &found {
             if let Some(e) = self.engines.get_mut(&engine) {
                 e.stood_still.insert(group, now + STANDS);
             }
         }
-        for (id, _, _) in found {
+        for (id, attempt, _, _) in found {
             let r = &self.requests[&id];
             let free = |e: &Engine| {
                 let usable = e.ready() && e.health == Health::Closed && placed(self.class(r), &e.entry);
                 usable && !self.stands(now, r, e) && self.has_room(now, r, e)
             };
             if self.fleet.ready.iter().filter_map(|id| self.engines.get(id)).any(free) {
-                self.try_anew(now, id, acts);
+                self.try_anew(now, id, attempt, acts);
             }
         }
     }
@@ -125,21 +140,20 @@
         let due = nanos(SILENT_NOTES * secs(self.s.note_period));
         let noted = if due > 0 { due } else { Nanos::MAX / 2 };
         // What is sent anew runs twice: soon where much room is free, later where it takes that of others.
-        let idle = self.fleet.mean.threads <= USUAL_BUSY * self.fleet.bound / self.sharers;
-        let least = if idle { 1.0 } else { TAIL_FIRST };
-        let lost = |r: &Request| {
-            let o = r.out.as_ref().filter(|o| !o.cancelling)?;
+        let least = if self.idle() { TAIL_LEAST } else { TAIL_FIRST };
+        let lost = |(r, o): (&Request, &Out)| {
             // Where nothing can be cancelled the engine may well work on it for longer still.
             let times = if self.s.limits.may_cancel { 1.0 } else { SILENT_TIMES };
             let tail = nanos(times * self.learned(r).tail.max(least) * o.alone).max(STALL);
             let limit = if o.life_at > o.sent { noted } else { tail.min(noted) };
             let age = now.saturating_sub(o.life_at);
             let silent = age > nanos(SILENT_TIMES * o.expected).min(2 * noted).max(SILENT_LEAST);
-            (age > limit).then_some((r.ask.id, o.engine, o.sent, silent))
+            (age > limit).then_some((r.ask.id, o.attempt, o.engine, o.sent, silent))
         };
-        let lost: Vec<(RequestId, EngineId, Nanos, bool)> = self.requests.values().filter_map(lost).collect();
-        for &(id, engine, sent, silent) in &lost {
-            let count = lost.iter().filter(|(_, e, _, silent)| *e == engine && *silent).count();
+        let out = self.requests.values().flat_map(|r| r.outs.iter().map(move |o| (r, o)));
+        let lost: Vec<_> = out.filter(|(_, o)| !o.cancelling).filter_map(lost).collect();
+        for &(id, attempt, engine, sent, silent) in &lost {
+            let count = lost.iter().filter(|(_, _, e, _, silent)| *e == engine && *silent).count();
             let may_eject = silent && count >= SILENT_COUNT && self.may_eject(engine);
             let Some(e) = self.engines.get_mut(&engine) else { continue };
             match e.health {
@@ -147,12 +161,12 @@
                 Health::Closed if may_eject && e.life_at <= sent => e.eject(now),
                 Health::Closed | Health::HalfOpen(_) | Health::Open(_) => {}
             }
-            if let Some(o) = self.requests.get_mut(&id).and_then(|r| r.out.as_mut()) {
+            if let Some(o) = self.requests.get_mut(&id).and_then(|r| r.out(attempt)) {
                 let ghost = std::mem::take(&mut o.running);
                 e.since = if e.report.is_none() { (e.since - ghost.threads).max(0.0) } else { e.since };
                 self.carry(now, engine, ghost, -1.0);
             }
-            self.try_anew(now, id, acts);
+            self.try_anew(now, id, attempt, acts);
         }
     }
 }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -46,6 +46,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let (alone, threads, long) = (self.alone(r), self.threads(r), self.is_long(r));
         let (weight, is_load, group) = (self.cold_weight(r), self.class(r).is_load, r.ask.group);
+        let small = self.work(r) < self.learned(r).work;
         let hopeless = r.over_share || now + nanos(alone) > self.aim_end(r);
         self.extras.extend((r.sends > 0).then_some(now));
         let thin = self.engines.get(&engine).is_some_and(|e| self.thin(e, threads));
@@ -68,12 +69,20 @@
         let expected = alone * e.stretch.max(1.0);
         self.carry(now, engine, running, 1.0);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        r.out =
-            Some(Out { engine, sent: now, alone, expected, running, crowd, life_at: now, cancelling: false });
+        let attempt = AttemptNo(r.sends as u16);
+        let times = Out { sent: now, life_at: now, alone, expected, ..Out::default() };
+        r.outs.push(Out { attempt, engine, running, crowd, ..times });
         r.sends += 1;
         r.tried.insert(engine);
         if self.s.priorities_heeded {
-            let priority = [if long { 1 } else { 3 }, 0][usize::from(hopeless)];
+            // Of long ones those under the usual size first: their aims are the nearest.
+            let priority = if hopeless {
+                0
+            } else if long {
+                u8::from(small)
+            } else {
+                3
+            };
             acts.push(Action::Terms { id, priority, memory_mb: 0.0 });
         }
         acts.push(Action::Send { id, engine, timeout: 0 });
@@ -86,7 +95,7 @@
         let class = &self.s.classes[usize::from(r.ask.class.0)];
         let may_refuse = match if r.ask.single { Effect::Unsafe } else { class.effect } {
             Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => r.ran_on.is_none() && r.out.is_none(),
+            Effect::Keyed { .. } | Effect::Unsafe => r.first().is_none(),
         };
         if may_refuse {
             // It will come again, and count again: retries must not use up a tenant's share.
@@ -107,18 +116,19 @@
     pub(super) fn on_gone(&mut self, id: RequestId, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.done = true;
-        self.withdraw(id, acts);
+        self.withdraw_all(id, acts);
         self.forget(id);
     }
 
     pub(super) fn on_outcome(&mut self, now: Nanos, o: &Outcome, acts: &mut Vec<Action>) {
         let id = o.id;
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let last = r.sends == u32::from(o.attempt.0) + 1;
-        let Some(out) = r.out.take_if(|_| last) else { return };
+        let Some(out) = r.take_out(o.attempt) else { return };
         r.done |= o.closed;
         let never_ran = matches!(o.kind, OutcomeKind::Full | OutcomeKind::ConnectFailed | OutcomeKind::Moot);
-        r.ran_on = r.ran_on.or((!never_ran).then_some((o.engine, out.sent)));
+        // The first that was sent, whichever ended first: its key is known from then on.
+        let ran = (!never_ran).then_some((o.engine, out.sent));
+        r.ran_on = r.ran_on.into_iter().chain(ran).min_by_key(|(_, sent)| *sent);
         let (ask, is_load) = (r.ask, self.s.classes[usize::from(r.ask.class.0)].is_load);
         self.carry(now, out.engine, out.running, -1.0);
         let Some(e) = self.engines.get_mut(&out.engine) else { return };
@@ -152,8 +162,13 @@
     fn again_or_end(&mut self, now: Nanos, id: RequestId, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         if r.done {
+            // Answered: the copy beside it runs for nobody.
+            self.withdraw_all(id, acts);
             return self.forget(id);
         }
+        if !r.outs.is_empty() {
+            return;
+        }
         let time_left = now + nanos(self.alone(r)) < r.ask.give_up_at;
         if time_left && self.effect_allows(now, r, None) && r.sends < r.most_sends.max(1) {
             self.hold(now, id);
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -6,6 +6,7 @@
 // Costs in the choice of an engine, in full bounds of threads: zones apart, data set held by a load...
 const CROSS: f64 = 0.03;
 const GROUP_HELD: f64 = 1.5;
+const HOME: f64 = 1.0; // ...engine that is not its data set's own, which reads that from its disks...
 const TRIED: f64 = 1.0; // ...engine tried before; a half-open one comes first.
 const TRIAL: f64 = 10.0;
 
@@ -35,7 +36,9 @@
 
     /// The gate of every send: one out, time left, drain, placement, cold, attempts, effects, key turn.
     pub(super) fn gate(&self, now: Nanos, id: RequestId, r: &Request, e: &Engine) -> bool {
-        let open = !r.done && now + nanos(DOUBT * self.alone(r)) < r.ask.give_up_at && r.out.is_none();
+        let open = !r.done && now + nanos(DOUBT * self.alone(r)) < r.ask.give_up_at;
+        let beside = self.s.limits.second_copies && r.outs.len() < 2;
+        let open = open && (r.outs.is_empty() || (beside && r.outs.iter().all(|o| o.engine != e.entry.id)));
         let engine = e.ready() && placed(self.class(r), &e.entry) && self.cold_allows(now, r, e);
         let further = r.sends == 0 || (r.sends < r.most_sends && self.budget_allows(now));
         open && engine && further && self.effect_allows(now, r, Some(e)) && self.has_turn(now, id, r)
@@ -43,7 +46,7 @@
 
     /// Rule 2: whether the request may go out again at all, and to this engine.
     pub(super) fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
-        let Some((first, sent)) = r.ran_on else { return true };
+        let Some((first, sent)) = r.first() else { return true };
         let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
         may_repeat(self.effect(r), sent, pair, now)
     }
@@ -70,7 +73,9 @@
         // A turn on a cold engine is rare, and lost if it is not used.
         let far = on(blind && !self.near(0).any(|id| id == e.entry.id), FAR) - on(blind && cold, TRIED);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
-        (load + k) / limit.max(0.5) * slow + data + place + far + past
+        let few = self.fleet.ready.len() <= CANDIDATES;
+        let home = on(few && r.ask.group > 0, HOME * strangeness(r.ask.group, e.entry.id));
+        (load + k) / limit.max(0.5) * slow + data + place + far + past + home
     }
 
     /// Where the query may go now: the best of the candidates with room that passes the gate.
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -2,7 +2,6 @@
 use super::*;
 
 const COLD_MARGIN: f64 = 0.55; // Margin on the cold budget: clocks, slow machines, work not known ahead.
-const MIX: u64 = 0x9E37_79B9_7F4A_7C15; // 2^64 over the golden ratio: multiples spread evenly on a circle.
 
 impl Engine {
     /// Share of usual capacity that a started engine surely has: the start share, then a late-rising curve.
@@ -39,16 +38,4 @@
         let guess = if l.samples < ENOUGH { secs(self.class(r).promise) * self.threads(r) } else { 0.0 };
         guess.max(l.work).max(self.work(r))
     }
-
-    /// Whether this gateway is among the `holders` that have a turn on an engine now, and has not used it.
-    /// Gateways stand evenly on a circle; an arc of `holders` of them is let in, and moves on by the golden
-    /// ratio each slot: whole gateways, `holders` of them on average, also where that is a fraction.
-    pub(super) fn has_slot(&self, now: Nanos, e: &Engine, slot: Nanos, holders: f64, across: f64) -> bool {
-        let gateways = self.s.gateways.max(1);
-        let circle = |x: u64| (x.wrapping_mul(MIX) >> 11) as f64 / (1u64 << 53) as f64;
-        let place = f64::from(self.s.me % gateways) / f64::from(gateways) + circle(e.entry.id.0);
-        let turn = now / slot.max(1);
-        let used = e.sent_at > 0 && e.sent_at / slot.max(1) == turn;
-        !used && (place + 1.0 + across - circle(turn)).fract() < holders / f64::from(gateways)
-    }
 }
--- a/src/policy/fleet.rs
+++ b/src/policy/fleet.rs
@@ -1,15 +1,6 @@
 //! The list of engines, and the sweep over all that is known of the fleet.
 use super::*;
 
-impl Engine {
-    fn new(now: Nanos, entry: EngineEntry, s: &Settings, stretch: f64) -> Engine {
-        let cores = s.kinds.get(usize::from(entry.kind.0)).map_or(1.0, |k| k.cores).max(1.0);
-        let start = START_THREADS_PER_CORE * cores;
-        let times = Engine { counted_at: now, life_at: now, ..Engine::default() };
-        Engine { entry, cores, start, bound: start, stretch, ..times }
-    }
-}
-
 impl Gateway {
     pub(super) fn on_list(
         &mut self,
@@ -21,31 +12,8 @@
         if kind == ListKind::Failed {
             return acts.push(Action::Watch(true));
         }
-        if kind != ListKind::Changes {
-            let named: BTreeSet<EngineId> = entries.iter().map(|e| e.id).collect();
-            for e in self.engines.values_mut().filter(|e| !named.contains(&e.entry.id)) {
-                e.entry.readiness = Readiness::Gone;
-            }
-        }
-        for entry in entries {
-            // No faster and no slower than the rest: else, as the rest slows, all gateways take the new one.
-            let (s, usual) = (&self.s, self.fleet.median_stretch);
-            let e = self.engines.entry(entry.id).or_insert_with(|| Engine::new(now, *entry, s, usual));
-            if e.entry.ready_at != entry.ready_at {
-                // A restart under the same id: a cold engine without history, but attempts out still count.
-                let fresh = Engine::new(now, *entry, s, usual);
-                let old = std::mem::replace(e, fresh);
-                (e.running, e.held_groups) = (old.running, old.held_groups);
-            }
-            e.entry = *entry;
-        }
-        self.fleet.ready = self.engines.values().filter(|e| e.ready()).map(|e| e.entry.id).collect();
-        // What is gone is forgotten, unless an attempt there still counts: memory must not grow.
-        let out = |r: &Request| r.out.as_ref().map(|o| o.engine).into_iter().chain(r.ran_on.map(|(e, _)| e));
-        let needed: BTreeSet<EngineId> = self.requests.values().flat_map(out).collect();
-        let stays = |e: &Engine| e.entry.readiness != Readiness::Gone || needed.contains(&e.entry.id);
-        self.engines.retain(|_, e| stays(e));
-        self.fleet.recent.retain(|id| self.engines.get(id).is_some_and(Engine::ready));
+        // No faster and no slower than the rest: else, as the rest slows, all gateways take the new one.
+        self.merge(now, kind, entries, START_THREADS_PER_CORE, self.fleet.median_stretch);
         self.look(now);
     }
 
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -23,12 +23,15 @@
         let may_eject = self.may_eject(o.engine);
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = e.health == Health::HalfOpen(Some(o.id));
+        let silent = out.life_at.max(e.life_at) <= out.sent;
         let failed = match o.kind {
             OutcomeKind::Error | OutcomeKind::ConnectFailed | OutcomeKind::Reset => true,
             OutcomeKind::Ok | OutcomeKind::Full => false,
             // Nothing since from its engine, on this attempt or another. Guards against ejecting the busiest,
             // where much of what waits in a full line runs out of time.
-            OutcomeKind::Timeout if out.life_at.max(e.life_at) <= out.sent => true,
+            OutcomeKind::Timeout if silent => true,
+            // Its copy answered sooner. Where a gateway's share is small it hears too little to tell.
+            OutcomeKind::Cancelled if silent && o.closed && e.start >= self.sharers => true,
             OutcomeKind::Timeout | OutcomeKind::Cancelled | OutcomeKind::Moot => {
                 e.health = if trial { Health::HalfOpen(None) } else { e.health };
                 return;
--- a/src/policy/held.rs
+++ b/src/policy/held.rs
@@ -32,7 +32,7 @@
         while at < self.held.len() && tries < PUMP_MOST && no_room.contains(&false) {
             let (_, id, class) = self.held[at];
             let full = &mut no_room[usize::from(class.0)];
-            let Some(r) = self.requests.get(&id).filter(|r| !r.done && r.out.is_none()) else {
+            let Some(r) = self.requests.get(&id).filter(|r| !r.done && r.outs.is_empty()) else {
                 self.held.remove(at);
                 continue;
             };
@@ -61,7 +61,7 @@
         let mut ahead = 0.0;
         for entry in std::mem::take(&mut self.held) {
             let id = entry.1;
-            let Some(r) = self.requests.get(&id).filter(|r| !r.done && r.out.is_none()) else { continue };
+            let Some(r) = self.requests.get(&id).filter(|r| !r.done && r.outs.is_empty()) else { continue };
             let wait = if rate > 0.0 { ahead / rate } else { 0.0 };
             let late = rate > 0.0 && now + nanos(wait + self.alone(r)) > self.useful_end(r);
             if late || now + margin >= r.ask.give_up_at || r.sends >= r.most_sends.max(1) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,7 +15,6 @@
 pub use crate::state::Gateway;
 use crate::state::*;
 use rand_core::Rng;
-use std::collections::BTreeSet;
 
 const SWEEP: u64 = 1; // Timer token of the sweep; the module has no other timer.
 const SWEEP_EVERY: Nanos = 20_000_000; // Between looks at what waits: within the usual answer slack.
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,10 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// 2^64 over the golden ratio: multiples spread evenly on a circle.
+const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
 
 pub fn secs(ns: Nanos) -> f64 {
     ns as f64 / 1e9
@@ -85,6 +89,12 @@
 }
 
 impl Engine {
+    /// One that nothing is known of but its entry and its cores.
+    pub fn new(now: Nanos, entry: EngineEntry, cores: f64, start: f64, stretch: f64) -> Engine {
+        let times = Engine { counted_at: now, life_at: now, ..Engine::default() };
+        Engine { entry, cores, start, bound: start, stretch, ..times }
+    }
+
     /// Brings the time integrals of the window up to now.
     pub fn count(&mut self, now: Nanos) {
         let dt = secs(now.saturating_sub(self.counted_at));
@@ -100,6 +110,7 @@
 
 #[derive(Default)]
 pub struct Out {
+    pub attempt: AttemptNo,
     pub engine: EngineId,
     pub sent: Nanos,
     pub alone: f64, // Expected time alone, and as slow as the engine was.
@@ -117,14 +128,33 @@
     pub over_share: bool,
     pub done: bool, // Answered; kept only while an attempt is out.
     pub sends: u32,
-    pub most_sends: u32, // As the settings had it when it came.
-    pub out: Option<Out>,
+    pub most_sends: u32,                   // As the settings had it when it came.
+    pub outs: Vec<Out>,                    // Two where a second copy runs beside the first.
     pub ran_on: Option<(EngineId, Nanos)>, // First engine that may have run it, and when it was sent there.
     pub tried: BTreeSet<EngineId>,
     pub probing_until: Nanos, // Waits for probes until then.
     pub replans: u32,
 }
 
+impl Request {
+    /// The first attempt that may have run or is out: where it went, and when.
+    pub fn first(&self) -> Option<(EngineId, Nanos)> {
+        let outs = self.outs.iter().map(|o| (o.engine, o.sent));
+        outs.chain(self.ran_on).min_by_key(|(_, sent)| *sent)
+    }
+
+    /// The attempt of that number, if it is out.
+    pub fn out(&mut self, attempt: AttemptNo) -> Option<&mut Out> {
+        self.outs.iter_mut().find(|o| o.attempt == attempt)
+    }
+
+    /// The same, off the book.
+    pub fn take_out(&mut self, attempt: AttemptNo) -> Option<Out> {
+        let at = self.outs.iter().position(|o| o.attempt == attempt)?;
+        Some(self.outs.remove(at))
+    }
+}
+
 #[derive(Default)]
 pub struct KeyLine {
     pub line: VecDeque<RequestId>,
@@ -281,9 +311,57 @@
         }
     }
 
+    /// Whether this gateway is among the `holders` that have a turn on an engine now, and has not used it.
+    /// Gateways stand evenly on a circle; an arc of `holders` of them is let in, and moves on by the golden
+    /// ratio each slot: whole gateways, `holders` of them on average, also where that is a fraction.
+    pub(crate) fn has_slot(&self, now: Nanos, e: &Engine, slot: Nanos, holders: f64, across: f64) -> bool {
+        let gateways = self.s.gateways.max(1);
+        let circle = |x: u64| (x.wrapping_mul(MIX) >> 11) as f64 / (1u64 << 53) as f64;
+        let place = f64::from(self.s.me % gateways) / f64::from(gateways) + circle(e.entry.id.0);
+        let turn = now / slot.max(1);
+        let used = e.sent_at > 0 && e.sent_at / slot.max(1) == turn;
+        !used && (place + 1.0 + across - circle(turn)).fract() < holders / f64::from(gateways)
+    }
+
+    /// News of the list: engines that are new have that bound per core, and are taken to be that slow.
+    pub(crate) fn merge(
+        &mut self,
+        now: Nanos,
+        kind: ListKind,
+        entries: &[EngineEntry],
+        per_core: f64,
+        stretch: f64,
+    ) {
+        if kind != ListKind::Changes {
+            let named: BTreeSet<EngineId> = entries.iter().map(|e| e.id).collect();
+            for e in self.engines.values_mut().filter(|e| !named.contains(&e.entry.id)) {
+                e.entry.readiness = Readiness::Gone;
+            }
+        }
+        for entry in entries {
+            let cores = self.s.kinds.get(usize::from(entry.kind.0)).map_or(1.0, |k| k.cores).max(1.0);
+            let fresh = || Engine::new(now, *entry, cores, per_core * cores, stretch);
+            let e = self.engines.entry(entry.id).or_insert_with(fresh);
+            if e.entry.ready_at != entry.ready_at {
+                // A restart under the same id: a cold engine without history, but attempts out still count.
+                let old = std::mem::replace(e, fresh());
+                (e.running, e.held_groups) = (old.running, old.held_groups);
+            }
+            e.entry = *entry;
+        }
+        self.fleet.ready = self.engines.values().filter(|e| e.ready()).map(|e| e.entry.id).collect();
+        // What is gone is forgotten, unless an attempt there still counts: memory must not grow.
+        let outs = self.requests.values().flat_map(|r| r.outs.iter().map(|o| o.engine));
+        let ran = self.requests.values().filter_map(|r| r.ran_on.map(|(e, _)| e));
+        let needed: BTreeSet<EngineId> = outs.chain(ran).collect();
+        let stays = |e: &Engine| e.entry.readiness != Readiness::Gone || needed.contains(&e.entry.id);
+        self.engines.retain(|_, e| stays(e));
+        self.fleet.recent.retain(|id| self.engines.get(id).is_some_and(Engine::ready));
+    }
+
     /// Drops a request that is over and has nothing out, and passes on its key's turn.
     pub(crate) fn forget(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id).filter(|r| r.done && r.out.is_none()) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| r.done && r.outs.is_empty()) else { return };
         if let Some(k) = r.ask.key.and_then(|k| self.keys.get_mut(&k)) {
             k.line.retain(|other| *other != id);
         }
@@ -371,3 +449,10 @@
     class.only_zones.as_ref().is_none_or(|z| z.contains(&entry.zone))
         && class.only_kinds.as_ref().is_none_or(|k| k.contains(&entry.kind))
 }
+
+/// How far an engine is from being a data set's own, 0 to 1: the same at all gateways and after a restart, so that engines
+/// keep warm what they are asked for, without a word between gateways.
+pub fn strangeness(group: u64, engine: EngineId) -> f64 {
+    let hash = xxh3_64_with_seed(&engine.0.to_be_bytes(), group);
+    1.0 - (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/src/statement.rs
+++ b/src/statement.rs
@@ -121,8 +121,8 @@
 }
 
 /// The number of the group of tables that a statement reads or writes, if need be by the schema that names
-/// without one belong to; 0 if there is none.
-pub fn group(statement: &[u8], schema: Option<&str>) -> u64 {
+/// without one belong to.
+pub fn group(statement: &[u8], schema: Option<&str>) -> Option<u64> {
     let mut tokens = Tokens { rest: statement }.peekable();
     // A qualified name counts at once where tables are named; elsewhere it may be an alias and a column, and
     // counts only if no table has such a name.
@@ -143,11 +143,11 @@
         }
         let schema = if in_tables { parts[parts.len() - 2] } else { parts[0] };
         match number(schema) {
-            Some(group) if in_tables => return group,
+            Some(group) if in_tables => return Some(group),
             found => elsewhere = elsewhere.or(found),
         }
     }
-    elsewhere.or_else(|| number(schema?.as_bytes())).unwrap_or(0)
+    elsewhere.or_else(|| number(schema?.as_bytes()))
 }
 
 #[cfg(test)]
@@ -157,23 +157,23 @@
     #[test]
     fn the_group_is_the_number_of_the_schema() {
         for (text, expected) in [
-            ("select a from sales_17.orders", 17),
-            ("INSERT INTO ops_3.calls SELECT * FROM staging.calls", 3),
-            ("insert into sales_4.x select * from staging_9.y", 4),
-            ("select 'from sales_1.a', b from /* sales_2.a /* x */ sales_5.b */ sales_3.c", 3),
-            ("select x -- from sales_1.a\nfrom sales_8.a", 8),
-            ("select t_1.a from sales_6.orders t_1", 6),
-            ("select \"it's\" from \"sales_12\".\"orders\"", 12),
-            ("select 'it''s from a_1.b \\' from a_2.b' from c_3.d", 3),
-            ("select a from big.sales_7.orders", 7),
-            ("select 1.5, 2", 0),
-            ("select 'open from a_1.b", 0),
-            ("/* open from a_1.b", 0),
-            ("", 0),
+            ("select a from sales_17.orders", Some(17)),
+            ("INSERT INTO ops_3.calls SELECT * FROM staging.calls", Some(3)),
+            ("insert into sales_4.x select * from staging_9.y", Some(4)),
+            ("select 'from sales_1.a', b from /* sales_2.a /* x */ sales_5.b */ sales_3.c", Some(3)),
+            ("select x -- from sales_1.a\nfrom sales_8.a", Some(8)),
+            ("select t_1.a from sales_6.orders t_1", Some(6)),
+            ("select \"it's\" from \"sales_12\".\"orders\"", Some(12)),
+            ("select 'it''s from a_1.b \\' from a_2.b' from c_3.d", Some(3)),
+            ("select a from big.sales_7.orders", Some(7)),
+            ("select 1.5, 2", None),
+            ("select 'open from a_1.b", None),
+            ("/* open from a_1.b", None),
+            ("", None),
         ] {
             assert_eq!(group(text.as_bytes(), None), expected, "{text}");
         }
-        assert_eq!(group(b"select a from orders", Some("sales_9")), 9);
-        assert_eq!(group(b"select a from b_2.orders", Some("sales_9")), 2);
+        assert_eq!(group(b"select a from orders", Some("sales_9")), Some(9));
+        assert_eq!(group(b"select a from b_2.orders", Some("sales_9")), Some(2));
     }
 }
--- a/tests/inside/law.rs
+++ b/tests/inside/law.rs
@@ -258,7 +258,7 @@
     let reset = |p: &mut Play, id: u32| {
         // Out on the first engine, wherever the choice fell.
         let r = p.g.requests.get_mut(&RequestId(id)).expect("open");
-        r.out = Some(Out { engine: EngineId(1), sent: p.now, ..Out::default() });
+        r.outs = vec![Out { engine: EngineId(1), sent: p.now, ..Out::default() }];
         r.sends = 1;
         let (id, attempt, engine) = (RequestId(id), AttemptNo(0), EngineId(1));
         let (kind, work, memory_mb, load) = (OutcomeKind::Reset, None, None, LoadReport::default());
--- a/tests/inside/link.rs
+++ b/tests/inside/link.rs
@@ -311,3 +311,22 @@
         assert!(ended.end == End::Done && ended.cost == Cost::default(), "{toil} {room}: {ended:?}");
     }
 }
+
+/// Guards what follows against a connection that swallows what is sent on it: one that is passed by with another attempt
+/// beside it, and has said nothing since, carries nothing new; any word since clears it.
+#[test]
+fn a_connection_in_doubt_carries_nothing_new_until_it_speaks() {
+    let mut link = link();
+    assert_eq!(link.free(), 2);
+    link.doubt(RequestId(9), AttemptNo(0));
+    link.doubt(RequestId(1), AttemptNo(3));
+    assert_eq!(link.free(), 2, "no attempt of its own");
+    link.read(MS, b"k2 WAIT - 0\r\n\r\n", &mut Vec::new());
+    link.doubt(RequestId(1), AttemptNo(0));
+    assert_eq!(link.free(), 3, "it has spoken since");
+    let (mut silent, mut events) = (self::link(), Vec::new());
+    silent.doubt(RequestId(1), AttemptNo(0));
+    assert!(silent.free() == 0 && silent.over().is_none(), "what is on it may still be answered");
+    silent.read(9 * MS, b"k1 DONE sheets=1 0\r\n\r\nk2 WAIT - 0\r\n\r\n", &mut events);
+    assert!(events.len() == 2 && silent.over() == Some(End::Dropped));
+}
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -1,5 +1,6 @@
-//! The core under random steps: one answer for each request, never two attempts out, loads that may have run not
-//! sent again, and books that balance, whatever is configured meanwhile.
+//! The core under random steps: one answer for each request, never more attempts out than the settings allow, what may
+//! have run sent again only as its class and its key allow, and books that balance, whatever is configured meanwhile and
+//! whatever the module orders.
 use super::ends::Reach;
 use super::*;
 use crate::clock::{MS, SEC};
@@ -13,6 +14,8 @@
     Leave(u8),
     List(u8),
     Retune(u8),
+    /// A send that the module did not order.
+    Rogue(u8),
     Wait(u16),
 }
 
@@ -20,12 +23,13 @@
     fn arbitrary(g: &mut Gen) -> Step {
         let ends = [End::Done, End::Full, End::Broke, End::Refused, End::Reset, End::Closed, End::Drained];
         let n = u8::arbitrary(g);
-        match u8::arbitrary(g) % 11 {
+        match u8::arbitrary(g) % 12 {
             0..=3 => Step::Ask(n),
             4..=6 => Step::End(n, *g.choose(&ends).expect("ends"), bool::arbitrary(g)),
             7 => Step::Leave(n),
             8 => Step::List(n),
             9 => Step::Retune(n),
+            10 => Step::Rogue(n),
             _ => Step::Wait(u16::arbitrary(g) % 4_000),
         }
     }
@@ -33,25 +37,44 @@
 
 #[derive(Default)]
 struct Seen {
-    load: bool,
+    effect: Rule,
     class: String,
     most: u32,
-    out: Option<(AttemptNo, bool)>,
-    may_have_run: bool,
+    copies: usize,
+    outs: BTreeMap<AttemptNo, (EngineId, Micros)>,
+    /// When the first attempt went that ended and may have run.
+    ran: Option<Micros>,
     sends: u32,
     answers: u32,
     how: Option<Answer>,
     left: bool,
 }
 
+/// What repeating a request may do, in the test's own words.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Rule {
+    #[default]
+    Free,
+    /// Known for so long at all engines.
+    Key(Micros),
+    Never,
+}
+
+impl Seen {
+    fn first(&self) -> Option<Micros> {
+        self.outs.values().map(|(_, at)| *at).chain(self.ran).min()
+    }
+}
+
 struct Model {
     manager: Manager,
     now: Micros,
     seen: BTreeMap<u64, Seen>,
     ready: BTreeSet<EngineId>,
     /// The classes in force with the effect of each, and how many attempts a request may have.
-    classes: Vec<(String, bool)>,
+    classes: Vec<(String, Rule)>,
     most: u32,
+    copies: usize,
     ids: BTreeMap<RequestId, u64>,
     /// What the audit was given.
     audited: Vec<Decision>,
@@ -62,11 +85,16 @@
 }
 
 /// One of several files: classes dropped, added, and of another effect, and other numbers of attempts.
-fn file(n: u8) -> (Settings, Vec<(String, bool)>, u32) {
+fn file(n: u8) -> (Settings, Vec<(String, Rule)>, u32, usize) {
     let mut text = crate::kit::daemon::settings();
     let most = 3 - u32::from(n % 3);
     text["limits"]["send_cap"] = most.into();
+    let copies = if n & 64 > 0 { 2 } else { 1 };
+    text["limits"]["second_copies"] = (copies > 1).into();
     let classes = text["classes"].as_array_mut().expect("a list");
+    if n & 32 > 0 {
+        (classes[2]["semantics"], classes[2]["window_ns"]) = ("token".into(), 2_000_000_000u64.into());
+    }
     if n & 4 > 0 {
         classes[0]["semantics"] = "side_effect".into();
     }
@@ -79,22 +107,27 @@
         classes.remove(1);
     }
     let named = |c: &serde_json::Value| {
-        (c["name"].as_str().expect("a name").to_owned(), c["semantics"] == "side_effect")
+        let rule = match c["semantics"].as_str().expect("a word") {
+            "side_effect" => Rule::Never,
+            "token" => Rule::Key(micros(c["window_ns"].as_u64().expect("a window"))),
+            _ => Rule::Free,
+        };
+        (c["name"].as_str().expect("a name").to_owned(), rule)
     };
     let named = classes.iter().map(named).collect();
-    (settings::parse(text.to_string().as_bytes()).expect("settings"), named, most)
+    (settings::parse(text.to_string().as_bytes()).expect("settings"), named, most, copies)
 }
 
 impl Model {
     fn new() -> Model {
-        let (settings, classes, most) = file(0);
+        let (settings, classes, most, copies) = file(0);
         let names: Vec<String> = classes.iter().map(|(name, _)| name.clone()).collect();
         let mut manager = Manager::new(SEC, settings, &names, 7);
         manager.audit(true);
         let (seen, ids) = (BTreeMap::new(), BTreeMap::new());
         let ready = BTreeSet::new();
         let audited = Vec::new();
-        let mut model = Model { manager, now: SEC, seen, ready, classes, most, ids, audited };
+        let mut model = Model { manager, now: SEC, seen, ready, classes, most, copies, ids, audited };
         model.ready = (1..=3).map(EngineId).collect();
         let all = (1..=3).map(|id| entry(id, Readiness::Ready)).collect();
         let mut orders = Vec::new();
@@ -109,8 +142,18 @@
                 Order::Start(engine, job) => {
                     let tag = u64::from_str_radix(&job.key, 16).map_err(|e| e.to_string())?;
                     let seen = self.seen.get_mut(&tag).ok_or("a send for nobody")?;
-                    let again = !(seen.load && seen.may_have_run);
-                    if seen.out.is_some()
+                    let again = seen.first().is_none_or(|first| match seen.effect {
+                        Rule::Free => true,
+                        Rule::Key(window) => self.now < first + window,
+                        Rule::Never => false,
+                    });
+                    let there = seen.outs.values().any(|(e, _)| *e == engine);
+                    let keyed = matches!(seen.effect, Rule::Key(_));
+                    if job.nonce.is_some() != keyed || job.single != (seen.effect == Rule::Never) {
+                        return Err(format!("{tag} goes under {:?}", job.nonce));
+                    }
+                    if seen.outs.len() >= seen.copies
+                        || there
                         || !again
                         || seen.answers > 0
                         || seen.left
@@ -121,7 +164,8 @@
                     if !self.ready.contains(&engine) {
                         return Err("sent to an engine that takes no work".into());
                     }
-                    (seen.out, seen.sends) = (Some((job.attempt, true)), seen.sends + 1);
+                    seen.outs.insert(job.attempt, (engine, self.now));
+                    seen.sends += 1;
                     self.ids.insert(job.id, tag);
                 }
                 Order::Stop(_, id, attempt) => {
@@ -134,11 +178,16 @@
                     if seen.answers > 1 || seen.left {
                         return Err(format!("{origin:?} got an answer too many"));
                     }
-                    if seen.load && seen.may_have_run && matches!(answer, Answer::Refused(_)) {
-                        return Err("a load that may have run was refused".into());
+                    let unsure = seen.effect == Rule::Never && seen.first().is_some();
+                    if unsure && matches!(answer, Answer::Refused(_)) {
+                        return Err("what must not run twice and may have run was refused".into());
                     }
                 }
-                Order::Bump(..) | Order::Probe(_) | Order::CloseIdle(_) | Order::Log(_) => {}
+                Order::Bump(..)
+                | Order::Doubt(..)
+                | Order::Probe(_)
+                | Order::CloseIdle(_)
+                | Order::Log(_) => {}
             }
         }
         more.into_iter().try_for_each(|ended| self.end(ended))
@@ -148,9 +197,10 @@
         let Some(seen) = self.ids.get(&ended.id).and_then(|tag| self.seen.get_mut(tag)) else {
             return Ok(());
         };
-        if seen.out.is_some_and(|(attempt, _)| attempt == ended.attempt) {
-            seen.out = None;
-            seen.may_have_run |= !never_ran(outcome(ended.end, ended.reach));
+        if let Some((_, at)) = seen.outs.remove(&ended.attempt)
+            && !never_ran(outcome(ended.end, ended.reach))
+        {
+            seen.ran = Some(seen.ran.unwrap_or(at).min(at));
         }
         let mut orders = Vec::new();
         self.manager.ended(self.now, ended, &mut orders);
@@ -162,9 +212,14 @@
         match step {
             Step::Ask(n) => {
                 let tag = self.seen.len() as u64 + 1;
-                let (class, load) = self.classes[usize::from(*n) % self.classes.len()].clone();
+                let (class, effect) = self.classes[usize::from(*n) % self.classes.len()].clone();
+                // Every other one lacks its key.
+                let once = (n % 2 == 0).then(|| Rc::from(format!("key-{tag}")));
+                let keyless = once.is_none() && matches!(effect, Rule::Key(_));
+                let effect = if keyless { Rule::Never } else { effect };
+                let copies = if effect == Rule::Never { 1 } else { self.copies };
                 let id = self.manager.generations.find(&class).ok_or("a class in force has no slot")?;
-                self.seen.insert(tag, Seen { load, class, most: self.most, ..Seen::default() });
+                self.seen.insert(tag, Seen { effect, class, most: self.most, copies, ..Seen::default() });
                 let ask = Ask {
                     origin: Origin { conn: u64::from(n % 4), tag },
                     key: format!("{tag:016x}").into(),
@@ -176,13 +231,15 @@
                     repeated: false,
                     statement: Rc::from(&b"select 1"[..]),
                     session: None,
-                    once: None,
+                    once,
                 };
                 self.manager.take(self.now, ask, &mut orders);
             }
             Step::End(n, end, sent) => {
-                let out: Vec<(RequestId, AttemptNo)> =
-                    self.ids.iter().filter_map(|(id, tag)| Some((*id, self.seen[tag].out?.0))).collect();
+                let outs = |(id, tag): (&RequestId, &u64)| {
+                    self.seen[tag].outs.keys().map(|attempt| (*id, *attempt)).collect::<Vec<_>>()
+                };
+                let out: Vec<(RequestId, AttemptNo)> = self.ids.iter().flat_map(outs).collect();
                 let Some(&(id, attempt)) = out.get(usize::from(*n) % out.len().max(1)) else { return Ok(()) };
                 let unsent = matches!(end, End::Refused | End::Drained) || !(*sent || *end == End::Done);
                 let reach = if unsent { Reach::Unsent } else { Reach::Sent };
@@ -210,10 +267,17 @@
                 self.manager.list(self.now, ListKind::Changes, vec![entry(id, readiness)], &mut orders);
             }
             Step::Retune(n) => {
-                let (settings, classes, most) = file(*n);
+                let (settings, classes, most, copies) = file(*n);
                 let names: Vec<String> = classes.iter().map(|(name, _)| name.clone()).collect();
                 self.manager.retune(settings, &names);
-                (self.classes, self.most) = (classes, most);
+                (self.classes, self.most, self.copies) = (classes, most, copies);
+            }
+            Step::Rogue(n) => {
+                let known: Vec<RequestId> = self.ids.keys().copied().collect();
+                if let Some(id) = known.get(usize::from(n / 3) % known.len().max(1)) {
+                    let engine = EngineId(u64::from(n % 3) + 1);
+                    self.manager.send(self.now, *id, engine, 0, &mut orders);
+                }
             }
             Step::Wait(ms) => {
                 let until = self.now + u64::from(*ms) * MS;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -163,6 +163,8 @@
         let class = self.s.classes[usize::from(r.ask.class.0)].clone();
         assert!(r.over.is_none() && now < r.ask.give_up_at, "sent after the end");
         let out = r.tries.iter().filter(|t| t.ended.is_none()).count();
+        let there = r.tries.iter().any(|t| t.ended.is_none() && t.engine == engine);
+        assert!(!there, "a second copy to the engine of the first");
         assert!(out <= usize::from(self.s.limits.second_copies), "{} attempts out at once", out + 1);
         assert!(r.tries.len() < self.s.limits.send_cap as usize, "too many attempts");
         assert!(class.only_kinds.as_ref().is_none_or(|k| k.contains(&e.kind)), "placement");
@@ -213,11 +215,10 @@
         self.seen.get_mut(&id).expect("known").tries.push(t);
     }
 
-    fn end(&mut self, id: RequestId, kind: OutcomeKind) {
+    fn end(&mut self, (id, n): (RequestId, usize), kind: OutcomeKind) {
         let now = self.rig.now;
         let Some(r) = self.seen.get_mut(&id) else { return };
-        let n = r.tries.len();
-        let Some(t) = r.tries.last_mut().filter(|t| t.ended.is_none()) else { return };
+        let Some(t) = r.tries.get_mut(n).filter(|t| t.ended.is_none()) else { return };
         t.ended = Some((kind, now));
         if kind == OutcomeKind::Ok && r.over.is_none() {
             r.over = Some(now);
@@ -228,10 +229,10 @@
             self.extras.retain(|x| *x != (sent, id));
         }
         let r = &self.seen[&id];
-        let t = &r.tries[n - 1];
+        let t = &r.tries[n];
         let o = Outcome {
             id,
-            attempt: AttemptNo(n as u16 - 1),
+            attempt: AttemptNo(n as u16),
             engine: t.engine,
             kind,
             latency: now - t.sent,
@@ -243,9 +244,11 @@
         self.tell(Event::Outcome(o));
     }
 
-    fn out(&self) -> Vec<RequestId> {
-        let open = |r: &Seen| r.tries.last().is_some_and(|t| t.ended.is_none());
-        self.seen.iter().filter(|(_, r)| open(r)).map(|(id, _)| *id).collect()
+    /// What is out: requests, and the numbers of their attempts.
+    fn out(&self) -> Vec<(RequestId, usize)> {
+        let all =
+            self.seen.iter().flat_map(|(id, r)| r.tries.iter().enumerate().map(move |(n, t)| (*id, n, t)));
+        all.filter(|(.., t)| t.ended.is_none()).map(|(id, n, _)| (id, n)).collect()
     }
 
     /// Moves the clock, with the timers and the time-outs at deadlines on the way.
@@ -254,13 +257,12 @@
         while self.rig.now < end {
             self.rig.now += 5 * MS;
             let now = self.rig.now;
-            for id in self.out() {
+            for (id, n) in self.out() {
                 let r = &self.seen[&id];
-                let cancelled = r.tries.last().is_some_and(|t| t.cancelled);
-                if cancelled {
-                    self.end(id, OutcomeKind::Cancelled);
+                if r.tries[n].cancelled {
+                    self.end((id, n), OutcomeKind::Cancelled);
                 } else if now >= r.ask.give_up_at {
-                    self.end(id, OutcomeKind::Timeout);
+                    self.end((id, n), OutcomeKind::Timeout);
                 }
             }
             let due: Vec<Nanos> = self.timers.range(..=now).copied().collect();
@@ -278,13 +280,13 @@
         self.stood = (from, self.rig.now);
         self.timers.clear();
         self.tell(Event::Timer(1));
-        for id in self.out() {
+        for (id, n) in self.out() {
             let r = &self.seen[&id];
-            let lost = r.tries.last().is_some_and(|t| t.cancelled);
+            let lost = r.tries[n].cancelled;
             if lost || self.rig.now >= r.ask.give_up_at {
-                self.end(id, if lost { OutcomeKind::Cancelled } else { OutcomeKind::Timeout });
+                self.end((id, n), if lost { OutcomeKind::Cancelled } else { OutcomeKind::Timeout });
             } else if self.below(2) == 0 {
-                self.end(id, OutcomeKind::Ok);
+                self.end((id, n), OutcomeKind::Ok);
             }
         }
     }
@@ -327,8 +329,8 @@
                 self.end(id, kind);
             }
             15 if !out.is_empty() => {
-                let id = out[self.below(out.len() as u64) as usize];
-                let attempt = AttemptNo(self.seen[&id].tries.len() as u16 - 1);
+                let (id, n) = out[self.below(out.len() as u64) as usize];
+                let attempt = AttemptNo(n as u16);
                 let share = self.below(100) as f64 / 100.0;
                 let notes =
                     [Note::Progress(share), Note::WaitsForLoad, Note::WaitsForMemory, Note::Spill(80.0)];
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -41,6 +41,35 @@
 }
 
 /// Guards the verdict of all that is rehearsed: a port that was free may be taken before the daemon has it.
+/// A deployment whose loads carry keys: rehearsals/keyed.txt.
+#[test]
+fn keyed_loads_priorities_and_copies() {
+    play(include_str!("../rehearsals/keyed.txt"));
+}
+
+/// Guards an engine of a small model: what it turns away never ran, so its refusal is honest and its key still unknown.
+#[test]
+fn an_engine_that_is_full_turns_a_keyed_load_away_unseen() {
+    play(
+        "set /classes/2/semantics \"token\"
+        set /classes/2/window_ns 1000000
+        engine small platform std-8core 1
+        start
+        on small rows 300 1
+        ask long rpc report billing-desk 9000 SELECT 1
+        seen long
+        ask load keyed key-1 load billing-desk 9000 INSERT INTO sales_17.orders SELECT 1
+        expect load refused
+        expect long served
+        ask again keyed key-1 load billing-desk 9000 INSERT INTO sales_17.orders SELECT 1
+        expect again served
+        dropped load 0
+        dropped again 0
+        term
+        ended",
+    );
+}
+
 #[test]
 fn a_port_that_is_taken_meanwhile_is_no_fault_of_the_daemon() {
     play(
