Let a silent engine be nobody's home, and give homes only where answers tell their cost

Ruled out: the doubt of connections and the count of outrun attempts, which change nothing of the mean.

Change: homes cost 0.85 of a bound, only where answers tell costs (src/policy/choice.rs cost); an engine with an attempt past its time and no sign of life since is no home for a period; the larger burst is gone. The kit's tests show that it is tried again.

--- a/src/config.rs
+++ b/src/config.rs
@@ -268,6 +268,13 @@
     fn what_can_not_be_used_is_told() {
         let parse = |text: &Value| super::parse(text.to_string().as_bytes());
         assert!(parse(&good()).is_ok());
+        // Where repeats are known by a key the window has to be told.
+        let keyed_within = |c: &mut Value, window: Value| {
+            let class = &mut c["settings"]["classes"][2];
+            (class["semantics"], class["window_ns"]) = ("token".into(), window);
+        };
+        let keyed = parse(&with(|c| keyed_within(c, json!(20_000_000_000u64)))).expect("a good file");
+        assert_eq!(keyed.names.keyed, [2].into());
         let class = |key: &str, value: Value| with(|c| c["settings"]["classes"][0][key] = value.clone());
         for bad in [
             class("deadline_ns", json!(0)),
@@ -276,6 +283,9 @@
             class("name", json!("report")),
             class("name", json!("")),
             class("semantics", json!("perhaps")),
+            with(|c| keyed_within(c, json!(0))),
+            with(|c| keyed_within(c, json!(-1))),
+            with(|c| keyed_within(c, json!("20 s"))),
             with(|c| c["settings"]["limits"]["send_cap"] = json!(0)),
             with(|c| c["settings"]["limits"]["send_cap"] = json!(-1)),
             with(|c| c["settings"]["limits"]["send_cap"] = json!(1.5)),
--- a/src/manager/ends.rs
+++ b/src/manager/ends.rs
@@ -60,6 +60,7 @@
     match (end, reach) {
         (End::Done, _) => OutcomeKind::Ok,
         (End::Full, _) => OutcomeKind::Full,
+        // Also a repeat that the engine knew by its key: what ran under it is on the book of the attempt that ran.
         (End::Past, _) => OutcomeKind::Moot,
         (End::Broke, _) => OutcomeKind::Error,
         // Reported by the kernel before anything could be written.
--- a/src/policy/anew.rs
+++ b/src/policy/anew.rs
@@ -156,6 +156,7 @@
             let count = lost.iter().filter(|(_, _, e, _, silent)| *e == engine && *silent).count();
             let may_eject = silent && count >= SILENT_COUNT && self.may_eject(engine);
             let Some(e) = self.engines.get_mut(&engine) else { continue };
+            e.silent_at = if e.life_at <= sent { now } else { e.silent_at };
             match e.health {
                 Health::HalfOpen(Some(trial)) if trial == id && silent => e.eject(now),
                 Health::Closed if may_eject && e.life_at <= sent => e.eject(now),
--- a/src/policy/bounds.rs
+++ b/src/policy/bounds.rs
@@ -6,7 +6,6 @@
 const LEAST_IMBALANCE: f64 = 1.0; // Least |Ti - To|, queries a second: below it bounds leap on noise.
 const STEP: f64 = 0.2; // Most that one update moves the bound: latency answers only a period later.
 const PRESSURE: f64 = 2.0; // Pressure: smoothed latency over time alone stands this far above the best seen.
-const SURGE_RANKED: f64 = 1.6; // The same where priorities keep short queries from waiting for long ones.
 const SPARE_MOST: f64 = 3.0; // Own threads past their part while engines tell that they stand idle, at most.
 const SHORT_PART: f64 = 0.5; // Part of each bound that short queries have even when long ones borrowed it.
 const LATE_PART: f64 = 0.25; // Part of a gateway's share that queries may fill which miss their aim anyway.
@@ -107,8 +106,7 @@
         let able = jam * e.warmth(now, &self.s.rules);
         if !self.thin(e, k) {
             let pressed = now < e.full_until || self.pressed(now, e.stretch);
-            let surge = if self.s.priorities_heeded { SURGE_RANKED } else { SURGE };
-            let limit = able * if pressed { e.bound } else { e.start * surge } / self.sharers;
+            let limit = able * if pressed { e.bound } else { e.start * SURGE } / self.sharers;
             return e.running.fits(k, long, limit);
         }
         // Exception: a share under one query. All shares bound own threads, reports tell where room is, and
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -6,7 +6,7 @@
 // Costs in the choice of an engine, in full bounds of threads: zones apart, data set held by a load...
 const CROSS: f64 = 0.03;
 const GROUP_HELD: f64 = 1.5;
-const HOME: f64 = 1.0; // ...engine that is not its data set's own, which reads that from its disks...
+const HOME: f64 = 0.85; // ...engine that is not its data set's own, which reads that from its disks...
 const TRIED: f64 = 1.0; // ...engine tried before; a half-open one comes first.
 const TRIAL: f64 = 10.0;
 
@@ -74,7 +74,12 @@
         let far = on(blind && !self.near(0).any(|id| id == e.entry.id), FAR) - on(blind && cold, TRIED);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
         let few = self.fleet.ready.len() <= CANDIDATES;
-        let home = on(few && r.ask.group > 0, HOME * strangeness(r.ask.group, e.entry.id));
+        // Guards against a home that may be down: all that belongs there would go on piling up. Forgotten after a
+        // period, as an engine that gets nothing can't speak; a small share hears too little to tell.
+        let silent = e.silent_at > e.life_at && now < e.silent_at + PERIOD;
+        let quiet = silent && e.start >= self.sharers;
+        let known = few && r.ask.group > 0 && !quiet && self.s.tells_cost;
+        let home = on(known, HOME * strangeness(r.ask.group, e.entry.id)) + on(quiet, HOME + TRIED);
         (load + k) / limit.max(0.5) * slow + data + place + far + past + home
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,7 +79,8 @@
     pub ejections: u32,
     pub fail_share: f64,
     pub life_at: Nanos,
-    pub reset_at: Nanos, // When a reset last counted against it.
+    pub silent_at: Nanos, // When an attempt there passed its time with no sign of life of the engine since.
+    pub reset_at: Nanos,  // When a reset last counted against it.
     pub cold_sent: VecDeque<(Nanos, f64)>,
     pub report: Option<(Nanos, f64)>, // When it last told its load, and that in threads.
     pub since: f64,                   // Own threads sent there since.
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -113,6 +113,37 @@
     assert_eq!(moved.count(), share(4));
 }
 
+/// Guards against a home that is down: once what went there passes its time without a sign of life, its data sets go
+/// elsewhere, until it speaks. And where answers tell no cost nothing shows that a home pays: load alone decides.
+#[test]
+fn a_silent_engine_is_nobodys_home() {
+    let mut rig = Rig::new(copying(), engines());
+    rig.pass(3 * S);
+    let asked = |id, now| Event::Request(NewRequest { group: 7, ..ask(id, 0, now, 6 * S, 50 * MS) });
+    let (_, home) = sends(&rig.tell(asked(1, rig.now)))[0];
+    let again = sends(&rig.tell(asked(2, rig.now)))[0].1;
+    assert_eq!(again, home, "room enough");
+    rig.pass(400 * MS);
+    assert!(sends(&rig.tell(asked(3, rig.now))).iter().all(|(_, e)| *e != home), "it says nothing");
+    rig.tell(outcome(2, 0, home, OutcomeKind::Ok, 400 * MS));
+    assert_eq!(sends(&rig.tell(asked(4, rig.now)))[0].1, home, "it speaks");
+    // One that got nothing since is tried again after a while, as it can't speak unasked.
+    let mut rig = Rig::new(copying(), engines());
+    rig.pass(3 * S);
+    rig.tell(asked(1, rig.now));
+    let copy = sends(&rig.pass(400 * MS))[0].1;
+    rig.tell(outcome(1, 1, copy, OutcomeKind::Ok, 100 * MS));
+    rig.tell(outcome(1, 0, home, OutcomeKind::Cancelled, 400 * MS));
+    assert!(sends(&rig.tell(asked(2, rig.now)))[0].1 != home);
+    rig.pass(3 * S);
+    assert_eq!(sends(&rig.tell(asked(3, rig.now)))[0].1, home);
+    let mut untold = copying();
+    untold.tells_cost = false;
+    let mut rig = Rig::new(untold, engines());
+    let at: Vec<EngineId> = (1..=4).map(|id| sends(&rig.tell(asked(id, rig.now)))[0].1).collect();
+    assert_eq!(at.iter().collect::<std::collections::BTreeSet<_>>().len(), 4, "{at:?}");
+}
+
 /// Guards engines from queries of which nothing is known to be shared: they spread by load alone. And a busy engine of its
 /// own does not keep a data set from the others.
 #[test]
@@ -160,3 +191,16 @@
     let acts = rig.tell(outcome(1, 0, first, OutcomeKind::Reset, 3 * S));
     assert!(sends(&acts).is_empty() && finals(&acts) == [(1, true)], "{acts:?}");
 }
+
+/// What an engine calls over, or does not take, never ran: the first goes on, and its late answer decides.
+#[test]
+fn a_copy_that_never_ran_leaves_the_first_to_decide() {
+    for kind in [OutcomeKind::Moot, OutcomeKind::Full, OutcomeKind::ConnectFailed] {
+        let (mut rig, first, acts) = silent(copying(), 3, false);
+        let (_, second) = sends(&acts)[0];
+        let acts = rig.tell(outcome(1, 1, second, kind, 5 * MS));
+        assert!(finals(&acts).is_empty() && cancels(&acts) == 0, "{kind:?}: {acts:?}");
+        let acts = rig.tell(outcome(1, 0, first, OutcomeKind::Ok, 2 * S));
+        assert!(finals(&acts).is_empty(), "served: {acts:?}");
+    }
+}
