--- a/src/policy/anew.rs
+++ b/src/policy/anew.rs
@@ -22,7 +22,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let in_time = now + nanos(self.alone(r)) < self.useful_end(r);
         if self.cancels >= 1.0 && in_time && self.may_try_again(now, r) {
-            // While much room is free the first runs on beside its copy. What is keyed is never given up for one.
+            // While much room is free the first runs on beside its copy. What is keyed is never given up.
             let beside = self.s.limits.second_copies && self.idle();
             if beside || self.effect(r) != Effect::Safe {
                 if let Some(engine) = self.choose(now, id).filter(|_| beside) {
@@ -69,8 +69,8 @@
         o.life_at = now;
         let (engine, sent, cancelling, alone) = (o.engine, o.sent, o.cancelling, o.alone);
         let (group, due) = (self.requests[&id].ask.group, 2 * self.s.note_period);
-        // A query that stands still for a load on its data is not slow, nor is its engine: it goes where the data
-        // is free, and this gateway keeps others off for a while. Harms where the load was about to end.
+        // A query that stands still for a load on its data is not slow, nor is its engine: it goes where
+        // the data is free, and others are kept off for a while. Harms where the load was about to end.
         let stands = note == Note::WaitsForLoad;
         if let Some(e) = self.engines.get_mut(&engine) {
             e.life_at = now;
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -74,8 +74,8 @@
         let far = on(blind && !self.near(0).any(|id| id == e.entry.id), FAR) - on(blind && cold, TRIED);
         let past = on(r.tried.contains(&e.entry.id), TRIED) - on(e.health == Health::HalfOpen(None), TRIAL);
         let few = self.fleet.ready.len() <= CANDIDATES;
-        // Guards against a home that may be down: all that belongs there would go on piling up. Forgotten after a
-        // period, as an engine that gets nothing can't speak; a small share hears too little to tell.
+        // Guards against a home that may be down: all that belongs there would pile up. Forgotten after
+        // a period, as an engine that gets nothing can't speak; a small share hears too little to tell.
         let silent = e.silent_at > e.life_at && now < e.silent_at + PERIOD;
         let quiet = silent && e.start >= self.sharers;
         let known = few && r.ask.group > 0 && !quiet && self.s.tells_cost;
