--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -143,10 +143,15 @@
         self.on_it.insert(job.id, on_it);
     }
 
+    /// Words that neither start nor end an attempt.
+    fn say(&mut self, bytes: Vec<u8>) {
+        self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 });
+    }
+
     /// Sends a probe.
     pub fn probe(&mut self, now: Micros) {
         let bytes = self.wire.probe(self.next_probe);
-        self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 });
+        self.say(bytes);
         self.probes.push_back((self.next_probe, now));
         self.next_probe += 1;
     }
@@ -192,7 +197,7 @@
         on_it.settles = Some(now + SETTLE);
         self.suspect |= self.heard_at <= on_it.sent_at;
         match self.wire.stop(id) {
-            Some(bytes) => self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 }),
+            Some(bytes) => self.say(bytes),
             None => {
                 self.over = Some(End::Dropped);
                 events.extend(self.end_plain(now, id, End::Withdrawn));
@@ -212,7 +217,7 @@
         if self.on_it.get(&id).is_some_and(|a| a.attempt == attempt && a.settles.is_none()) {
             let bytes = self.wire.bump(id, urgency);
             if !bytes.is_empty() {
-                self.outbox.push_back(Chunk { starts: None, ends: None, bytes, done: 0 });
+                self.say(bytes);
             }
         }
     }
@@ -277,7 +282,7 @@
 
     fn hear(&mut self, now: Micros, said: Vec<Said>, replies: Vec<u8>, events: &mut Vec<Event>) {
         if !replies.is_empty() {
-            self.outbox.push_back(Chunk { starts: None, ends: None, bytes: replies, done: 0 });
+            self.say(replies);
         }
         for said in said {
             match said {
--- a/src/engine/platform.rs
+++ b/src/engine/platform.rs
@@ -82,9 +82,8 @@
             return Ok(());
         }
         let load = self.load(fields);
-        let told = |name| fields.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<f64>().ok());
-        let cost = Cost::told(told("toil"), told("room"));
-        let count = |name| fields.iter().find(|(n, _)| *n == name).and_then(|(_, v)| v.parse::<usize>().ok());
+        let field = |name| fields.iter().find(|(n, _)| *n == name).map(|(_, value)| *value);
+        let count = |name| field(name).and_then(|v| v.parse::<usize>().ok());
         if !matches!(word, "DONE" | "MORE" | "WAIT" | "PAST" | "BROKE" | "KEEP" | "LACK" | "TELL") {
             return Err(End::Garbled);
         }
@@ -98,6 +97,8 @@
         match word {
             "DONE" if running.sheets.is_empty() => {
                 let Some(sheets) = count("sheets").filter(|n| *n > 0) else { return Err(End::Garbled) };
+                let told = |name| field(name).and_then(|v| v.parse().ok());
+                let cost = Cost::told(told("toil"), told("room"));
                 (running.load, running.cost, running.told_at) = (load, cost, now);
                 if sheets > MOST_SHEETS {
                     ended = Some(End::Broke);
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -5,6 +5,7 @@
 use crate::interface::{ClassId, TenantId};
 use crate::lifecycle::words::Handed;
 use crate::manager::ends::End;
+use crate::manager::words::MOST_FIGURE;
 use crate::manager::{Answer, Ask, Failure, Origin};
 use base64::prelude::{BASE64_STANDARD, Engine as _};
 use serde::Deserialize;
@@ -18,8 +19,6 @@
 const MOST_LINE: usize = 256 * 1024;
 /// Requests that may be open on a connection.
 const MOST_OPEN: usize = 32;
-/// Waits and costs in milliseconds, and memory in MB, are figures of one query: beyond this they are mistakes.
-const MOST_FIGURE: f64 = 86_400_000.0;
 /// What an idle connection keeps of its buffer.
 const SMALL: usize = 4 * 1024;
 /// A longer id goes back as null.
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -39,9 +39,20 @@
 
 /// The whole configuration.
 pub fn config(listen: SocketAddr, coordinator: SocketAddr, known: &Value, sockets: usize) -> Value {
+    config_with(listen, coordinator, known, sockets, &settings())
+}
+
+/// The same with other settings.
+fn config_with(
+    listen: SocketAddr,
+    coordinator: SocketAddr,
+    known: &Value,
+    sockets: usize,
+    settings: &Value,
+) -> Value {
     json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-        "coordinator": coordinator.to_string(), "known": known, "settings": settings()})
+        "coordinator": coordinator.to_string(), "known": known, "settings": settings})
 }
 
 /// A port that is free now.
@@ -112,8 +123,7 @@
     ) -> Result<Daemon, String> {
         let folder = Folder::new().map_err(|e| e.to_string())?;
         let listen = free_addr();
-        let mut text = config(listen, coordinator, known, sockets);
-        text["settings"] = settings.clone();
+        let text = config_with(listen, coordinator, known, sockets, &settings);
         let path = folder.put("config.json", &text.to_string()).map_err(|e| e.to_string())?;
         let console = console.then(free_addr);
         let mut command = command(program, &folder, listen, console);
@@ -201,8 +211,7 @@
 
     /// Writes a configuration with other classes (`NAME:SEMANTICS`) and another number of attempts, and says so.
     pub fn retune(&self, words: &[&str]) -> Result<(), String> {
-        let mut text = config(self.listen, self.coordinator, &self.known, self.sockets);
-        text["settings"] = self.settings.clone();
+        let mut text = config_with(self.listen, self.coordinator, &self.known, self.sockets, &self.settings);
         let usual = text["settings"]["classes"].as_array().cloned().unwrap_or_default();
         let mut classes = Vec::new();
         for word in words {
@@ -233,11 +242,7 @@
 
     /// Writes a new configuration that names another coordinator, or one that can't be used, and says so.
     pub fn reload(&self, coordinator: Option<SocketAddr>) -> Result<(), String> {
-        let good = |at| {
-            let mut text = config(self.listen, at, &self.known, 1_024);
-            text["settings"] = self.settings.clone();
-            text.to_string()
-        };
+        let good = |at| config_with(self.listen, at, &self.known, 1_024, &self.settings).to_string();
         let text = coordinator.map_or("{".to_owned(), good);
         self.folder.put("config.json", &text).map_err(|e| e.to_string())?;
         self.signal(rustix::process::Signal::HUP);
--- a/src/kit/script/mod.rs
+++ b/src/kit/script/mod.rs
@@ -495,20 +495,15 @@
         let named = |statement: &[&str]| format!("{} /* {name} */", statement.join(" "));
         let listen = self.daemon.as_ref().ok_or("not started")?.listen;
         let task = match words {
-            ["keyed", once, class, tenant, wait, statement @ ..] => {
-                let wait = wait.parse().map_err(|_| "the wait is no number")?;
-                let key = format!("{:016x}", self.queries.len() + 1);
-                let line = clients::rpc_line(1, class, &key, tenant, wait, &named(statement));
-                let line = if *once == "-" { line } else { clients::keyed_line(once, &line) };
-                self.executor.spawn(async move {
-                    let ended = clients::rpc_or_leave(listen, &line, &leave).await;
-                    *end.borrow_mut() = Some(ended);
-                })
-            }
-            ["rpc", class, tenant, wait, statement @ ..] => {
+            ["rpc", class, tenant, wait, statement @ ..]
+            | ["keyed", _, class, tenant, wait, statement @ ..] => {
                 let wait = wait.parse().map_err(|_| "the wait is no number")?;
                 let key = format!("{:016x}", self.queries.len() + 1);
                 let line = clients::rpc_line(1, class, &key, tenant, wait, &named(statement));
+                let line = match words {
+                    ["keyed", once, ..] if *once != "-" => clients::keyed_line(once, &line),
+                    _ => line,
+                };
                 self.executor.spawn(async move {
                     let ended = clients::rpc_or_leave(listen, &line, &leave).await;
                     *end.borrow_mut() = Some(ended);
--- a/src/manager/ledger.rs
+++ b/src/manager/ledger.rs
@@ -2,8 +2,8 @@
 use super::ends::End;
 use super::words::Ask;
 use crate::clock::{Micros, nanos};
-use crate::interface::{AttemptNo, Effect, EngineEntry, Scope};
-use crate::state::may_repeat;
+use crate::interface::{AttemptNo, Effect, EngineEntry};
+use crate::state::{may_refuse, may_repeat};
 
 /// An attempt that is out.
 pub struct Out {
@@ -55,6 +55,13 @@
 }
 
 impl Open {
+    /// A request that has just come.
+    pub fn new(ask: Ask, effect: Effect, most_sends: u16, copies: usize) -> Open {
+        let (outs, ran, memory_mb, urgency) = (Vec::new(), None, 0.0, None);
+        let (sends, last_end, closed) = (0, None, false);
+        Open { ask, effect, sends, most_sends, copies, outs, ran, memory_mb, urgency, last_end, closed }
+    }
+
     /// The first attempt that may have run, or is out.
     fn first(&self) -> Option<Ran> {
         let out = self.outs.iter().map(|out| Ran { on: out.to, sent_at: out.sent_at });
@@ -73,10 +80,9 @@
         may_repeat(self.effect, nanos(sent_at), Some((on, *to)), nanos(now))
     }
 
-    /// Whether a refusal is honest: it promises that trying again is harmless.
+    /// Whether a refusal is honest.
     pub fn may_refuse(&self) -> bool {
-        let harmless = matches!(self.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
-        harmless || self.first().is_none()
+        may_refuse(self.effect, self.first().is_some())
     }
 
     /// The attempt of that number, if it is out.
--- a/src/manager/mod.rs
+++ b/src/manager/mod.rs
@@ -272,19 +272,7 @@
         self.generations.opened(ask.class);
         self.origins.insert(ask.origin, id);
         self.deadlines.insert((ask.give_up_at + GUARD, id));
-        let open = Open {
-            ask,
-            sends: 0,
-            most_sends: self.send_cap,
-            copies,
-            effect,
-            outs: Vec::new(),
-            ran: None,
-            memory_mb: 0.0,
-            urgency: None,
-            last_end: None,
-            closed: false,
-        };
+        let open = Open::new(ask, effect, self.send_cap, copies);
         self.open.insert(id, open);
         self.tell(now, event, orders);
     }
--- a/src/manager/words.rs
+++ b/src/manager/words.rs
@@ -159,8 +159,8 @@
     pub memory_mb: Option<f64>,
 }
 
-/// A figure beyond this is a mistake: a day of work in milliseconds, and as many MB.
-const MOST_FIGURE: f64 = 86_400_000.0;
+/// Waits and costs in milliseconds, and memory in MB, are figures of one query: beyond this they are mistakes.
+pub const MOST_FIGURE: f64 = 86_400_000.0;
 
 impl Cost {
     /// What an engine said: milliseconds of work, and MB. A figure that is missing, not positive, not finite or absurd
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -90,14 +90,11 @@
 
     /// The final answer of a request that will not be served: refused where that is honest, else failed.
     pub(super) fn give_up(&mut self, id: RequestId, come_back: Nanos, acts: &mut Vec<Action>) {
-        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        let Some(r) = self.requests.get(&id).filter(|r| !r.done) else { return };
+        let honest = may_refuse(self.effect(r), r.first().is_some());
+        let Some(r) = self.requests.get_mut(&id) else { return };
         r.done = true;
-        let class = &self.s.classes[usize::from(r.ask.class.0)];
-        let may_refuse = match if r.ask.single { Effect::Unsafe } else { class.effect } {
-            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => r.first().is_none(),
-        };
-        if may_refuse {
+        if honest {
             // It will come again, and count again: retries must not use up a tenant's share.
             if let Some(t) = self.tenants.get_mut(usize::from(r.ask.tenant.0)).filter(|_| !r.over_share) {
                 t.tokens += 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -445,6 +445,12 @@
     }
 }
 
+/// Rule 2: whether a refusal is honest, as it promises that trying again is harmless: what may have run, or is out, only
+/// where it may be repeated anywhere.
+pub fn may_refuse(effect: Effect, may_have_run: bool) -> bool {
+    !may_have_run || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
+}
+
 /// Rule 6: the zones and kinds a class is bound to.
 pub fn placed(class: &ClassSpec, entry: &EngineEntry) -> bool {
     class.only_zones.as_ref().is_none_or(|z| z.contains(&entry.zone))
--- a/tests/inside/ledger.rs
+++ b/tests/inside/ledger.rs
@@ -1,7 +1,7 @@
 //! What the ledger allows next, by what a request's attempts have done so far.
 use super::*;
 use crate::clock::{MS, SEC};
-use crate::interface::{CellId, EngineId, ZoneId};
+use crate::interface::{CellId, EngineId, Scope, ZoneId};
 
 const WINDOW: Micros = 20 * SEC;
 
@@ -14,19 +14,7 @@
 }
 
 fn open(effect: Effect, copies: usize) -> Open {
-    Open {
-        ask: Ask::default(),
-        effect,
-        sends: 0,
-        most_sends: 5,
-        copies,
-        outs: Vec::new(),
-        ran: None,
-        memory_mb: 0.0,
-        urgency: None,
-        last_end: None,
-        closed: false,
-    }
+    Open::new(Ask::default(), effect, 5, copies)
 }
 
 fn out(to: EngineEntry, attempt: u16, sent_at: Micros) -> Out {
