Let every connection end with a farewell, and send nothing on for clients that have gone

Nothing looked again at the instant of a dispatch. - A watch of the coordinator was given up after a fixed 1.8 s and dialled after fixed pauses: a fleet in step. - EMFILE at a connect was taken for an unreachable engine. The system's own limit of descriptors was not looked at. - A further attempt of a keyed request could begin inside the key's window and end after it.

Changed, in the shared mechanisms: Peer::farewell for every end whose client is there (write what is owed, shut the write side, read to the end for 0.3 s at most, act on nothing of it), with a look at the socket before; a last phase of the process in which lines are emptied and all connections part; a backlog of 64 KB on connections that are read slowly, looked through for withdrawals at once; Standing::gone (poll, POLLRDHUP) before the first byte of an attempt goes out; a backoff with jitter from the manager's seed; End::of_connect; repeats end 0.1 s before their key's window, and the module sends none that would not. client.rs, engine.rs and manager/mod.rs are split by concern; unit tests that stood in sources moved to tests/inside.

--- a/src/engine/link.rs
+++ b/src/engine/link.rs
@@ -31,6 +31,8 @@
 
 struct OnIt {
     attempt: AttemptNo,
+    /// Its client's connection.
+    conn: u64,
     reach: Reach,
     sent_at: Micros,
     /// Given up; over at that time.
@@ -139,7 +141,8 @@
         if !tail.is_empty() {
             self.outbox.push_back(Chunk { starts: None, ends: Some(job.id), bytes: tail, done: 0 });
         }
-        let on_it = OnIt { attempt: job.attempt, reach: Reach::Unsent, sent_at: now, settles: None };
+        let on_it =
+            OnIt { attempt: job.attempt, conn: job.conn, reach: Reach::Unsent, sent_at: now, settles: None };
         self.on_it.insert(job.id, on_it);
     }
 
@@ -230,6 +233,12 @@
         events.extend(unsent.into_iter().filter_map(|id| self.take_back(now, id, End::Drained)));
     }
 
+    /// The attempt whose first byte is the next one to be written, with its client's connection.
+    pub fn starts(&self) -> Option<(RequestId, AttemptNo, u64)> {
+        let id = self.outbox.front().filter(|chunk| chunk.done == 0).and_then(|chunk| chunk.starts)?;
+        self.on_it.get(&id).map(|a| (id, a.attempt, a.conn))
+    }
+
     /// The bytes to write next.
     pub fn to_write(&self) -> Option<&[u8]> {
         let held = |chunk: &&Chunk| chunk.ends.is_some() && self.held_until.is_some();
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -24,6 +24,9 @@
 /// A longer id goes back as null.
 const MOST_ID: usize = 64;
 
+/// What a line that withdraws has in it.
+const WITHDRAW: &[u8] = b"\"withdraw\"";
+
 /// Refused: trying again is harmless.
 const REFUSED: i64 = -32050;
 const FAILED: i64 = -32051;
@@ -139,19 +142,8 @@
                 reply(replies, &json!({"jsonrpc": "2.0", "id": id, "result": {"green": green}}));
             }
             "withdraw" => {
-                let named = match &message.params {
-                    Value::Object(params) => params.get("id").or_else(|| params.get("rpc")),
-                    Value::Array(params) => params.first(),
-                    other => Some(other),
-                };
                 self.strikes += 1;
-                // One that was answered a moment ago is no fault, and no answer is owed.
-                let named = named.and_then(Value::as_u64);
-                if let Some(tag) = named.filter(|tag| self.open.remove(tag)) {
-                    said.push(Said::Withdraw(tag));
-                } else if let Some(tag) = named.filter(|tag| self.elsewhere.remove(tag)) {
-                    said.push(Said::WithdrawElsewhere(tag));
-                }
+                self.withdraw(&message.params, said);
             }
             method => match self.ask(now, method, &id, message.params) {
                 Ok(ask) => {
@@ -174,6 +166,21 @@
         }
     }
 
+    /// One that was answered a moment ago is no fault, and no answer is owed.
+    fn withdraw(&mut self, params: &Value, said: &mut Vec<Said>) {
+        let named = match params {
+            Value::Object(params) => params.get("id").or_else(|| params.get("rpc")),
+            Value::Array(params) => params.first(),
+            other => Some(other),
+        };
+        let named = named.and_then(Value::as_u64);
+        if let Some(tag) = named.filter(|tag| self.open.remove(tag)) {
+            said.push(Said::Withdraw(tag));
+        } else if let Some(tag) = named.filter(|tag| self.elsewhere.remove(tag)) {
+            said.push(Said::WithdrawElsewhere(tag));
+        }
+    }
+
     fn in_use(&self, tag: u64) -> bool {
         self.open.contains(&tag) || self.elsewhere.contains(&tag)
     }
@@ -304,6 +311,23 @@
         Ok(())
     }
 
+    fn skim(&mut self, waiting: &[u8], from: usize, said: &mut Vec<Said>) -> usize {
+        let mut at = from;
+        while let Some(end) = waiting[at..].iter().position(|c| *c == b'\n').filter(|_| !self.closing) {
+            let line = &waiting[at..at + end];
+            // The first one may have begun before.
+            let whole = if at == 0 { [&self.input, line].concat() } else { Vec::new() };
+            let line = if at == 0 { &whole[..] } else { line };
+            let withdraws = line.windows(WITHDRAW.len()).any(|w| w == WITHDRAW);
+            let message = withdraws.then(|| serde_json::from_slice::<Message>(line).ok()).flatten();
+            if let Some(message) = message.filter(|m| m.method == "withdraw" && m.jsonrpc == "2.0") {
+                self.withdraw(&message.params, said);
+            }
+            at += end + 1;
+        }
+        at
+    }
+
     fn answer(&mut self, _: Micros, tag: u64, answer: Answer, _: &mut Vec<Said>, replies: &mut Vec<u8>) {
         // Withdrawn a moment ago: no answer is owed.
         if !self.open.remove(&tag) && !self.elsewhere.remove(&tag) {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -40,6 +40,11 @@
         said: &mut Vec<Said>,
         replies: &mut Vec<u8>,
     ) -> Result<(), End>;
+    /// Looks through bytes that are to be read later, from a place in them on, for withdrawals of what is open: those
+    /// count at once. Tells how far it looked.
+    fn skim(&mut self, waiting: &[u8], _from: usize, _said: &mut Vec<Said>) -> usize {
+        waiting.len()
+    }
     /// Words the final answer to the request with that mark, and reads on in what waited behind it.
     fn answer(&mut self, now: Micros, tag: u64, answer: Answer, said: &mut Vec<Said>, replies: &mut Vec<u8>);
     /// Requests on it that wait for their answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub struct ReadmeExample;
 
 pub mod audit;
+pub mod backoff;
 pub mod clock;
 pub mod config;
 pub mod deploy;
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -68,6 +68,8 @@
     listed: bool,
     drained_at: Option<Micros>,
     stopping_at: Option<Micros>,
+    /// All is answered: what is left is to let clients go.
+    closing: bool,
     /// The part of the manager that older processes still have.
     older: f64,
     next: Next,
@@ -84,6 +86,7 @@
             listed: false,
             drained_at,
             stopping_at,
+            closing: false,
             older: 0.0,
             next: Next::None,
             left: 1.0,
@@ -116,6 +119,16 @@
         self.stopping_at = self.stopping_at.or(Some(now));
     }
 
+    /// All is answered after the request to end: from now on no connection is kept and no request is taken.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Whether that is so.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
     /// Older processes of this name have that part of the manager; none once they are gone.
     pub fn follows(&mut self, part: f64) {
         self.older = if part.is_finite() { part.clamp(0.0, 1.0) } else { 0.0 };
@@ -199,13 +212,13 @@
     pub fn closes(&self, now: Micros) -> bool {
         let drained = self.drained_at.map(|at| at + CLOSES);
         let over = self.stopping_at.filter(|_| self.next == Next::Ready).map(|at| at + CLOSES_OVER);
-        drained.into_iter().chain(over).any(|at| at <= now)
+        self.closing || drained.into_iter().chain(over).any(|at| at <= now)
     }
 
     /// How long a connection that is to be let go has to have been quiet: a client that just connected, or just got
     /// an answer, is likely to ask. Longer it is not held back.
     pub fn rest(&self, conn: u64, now: Micros, useful: bool) -> Micros {
-        match self.lets_go_at(conn) {
+        match self.lets_go_at(conn).filter(|_| !self.closing) {
             Some(at) if now < at + PATIENCE => {
                 if useful {
                     REST
--- a/src/main.rs
+++ b/src/main.rs
@@ -146,14 +146,14 @@
     let make = list::engines(shared.clone(), core.clone(), names.clone(), http.clone());
     shared.spawn(list::run(shared.clone(), core.clone(), list_mailbox, make, http));
     let (listen, addr, move_on) = (config.listen, config.coordinator, coordinator.clone());
-    let (flags, feed) = (shared.clone(), updates.clone());
+    let (flags, feed, seed) = (shared.clone(), updates.clone(), config.seed);
     shared.spawn(async move {
         for update in known {
             let _ = feed.send(update).await;
         }
         let ready = flags.clone();
         let heard = move || ready.life.borrow_mut().listed();
-        flags.spawn(coordinator::run(flags.clone(), last, moves, feed, heard));
+        flags.spawn(coordinator::run(flags.clone(), (last, seed), moves, feed, heard));
         let _ = move_on.send(Move { addr: Some(addr), known: Vec::new() }).await;
         Timer::after(READY_ANYWAY).await;
         flags.life.borrow_mut().listed();
--- /dev/null
+++ b/src/manager/answers.rs
@@ -0,0 +1,48 @@
+//! Final answers: one each, and what is forgotten with them.
+use super::*;
+
+impl Manager {
+    pub(super) fn refuse(&mut self, id: RequestId, after: Micros, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.closed) else { return };
+        // Guards rule 2: a refusal promises that trying again is harmless.
+        if !open.may_refuse() {
+            self.counters.stopped += 1;
+            return self.fail(id, Failure::NotSent, orders);
+        }
+        self.close(id, Answer::Refused(Some(after).filter(|t| *t > 0)), orders);
+    }
+
+    pub(super) fn fail(&mut self, id: RequestId, why: Failure, orders: &mut Vec<Order>) {
+        if self.open.get(&id).is_some_and(|open| !open.closed) {
+            self.close(id, Answer::Failed(why), orders);
+        }
+    }
+
+    pub(super) fn close(&mut self, id: RequestId, answer: Answer, orders: &mut Vec<Order>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.closed = true;
+        let (origin, class, at) = (open.ask.origin, open.ask.class, open.ask.give_up_at + GUARD);
+        let key = open.ask.key.clone();
+        self.count(class, &answer);
+        self.note_answer(class, &key, &answer);
+        self.origins.remove(&origin);
+        self.deadlines.remove(&(at, id));
+        orders.push(Order::Answer(origin, answer));
+        self.stop_all(id, End::Withdrawn, orders);
+        self.forget(id);
+    }
+
+    /// Drops a request that is over and has nothing out.
+    pub(super) fn forget(&mut self, id: RequestId) {
+        if !self.open.get(&id).is_some_and(|open| open.closed && open.outs.is_empty()) {
+            return;
+        }
+        let Some(open) = self.open.remove(&id) else { return };
+        self.generations.closed(open.ask.class);
+        self.statements -= open.ask.statement.len();
+        self.past_keys.push_back(open.ask.key);
+        if self.past_keys.len() > MOST_PAST_KEYS {
+            self.past_keys.pop_front().map(|key| self.keys.remove(&key));
+        }
+    }
+}
--- a/src/manager/ends.rs
+++ b/src/manager/ends.rs
@@ -1,5 +1,7 @@
 //! Every way in which a connection to an engine, or an attempt on it, can end, and what each proves.
 use crate::interface::OutcomeKind;
+use rustix::io::Errno;
+use std::io;
 
 /// How it ended. What it means for an attempt also depends on [`Reach`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -40,6 +42,19 @@
     Dropped,
 }
 
+impl End {
+    /// How a connection that was not made ended. What this side lacks says nothing of the peer.
+    pub fn of_connect(e: &io::Error) -> End {
+        match (e.kind(), e.raw_os_error().map(Errno::from_raw_os_error)) {
+            (io::ErrorKind::ConnectionRefused, _) => End::Refused,
+            (_, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::ADDRNOTAVAIL)) => {
+                End::Overflow
+            }
+            _ => End::Unreachable,
+        }
+    }
+}
+
 /// How much of an attempt went out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -86,42 +101,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const ALL: [End; 17] = [
-        End::Done,
-        End::Full,
-        End::Past,
-        End::Broke,
-        End::Refused,
-        End::ConnectTimeout,
-        End::Unreachable,
-        End::Overflow,
-        End::Closed,
-        End::Reset,
-        End::Garbled,
-        End::Silent,
-        End::Idle,
-        End::Drained,
-        End::Withdrawn,
-        End::Deadline,
-        End::Dropped,
-    ];
-
-    /// Guards rule 2: after a byte went out only the engine's word, or a connection that never was, clears it.
-    #[test]
-    fn only_the_engine_says_that_what_went_out_never_ran() {
-        let clears = |end: &End| never_ran(outcome(*end, Reach::Sent));
-        let cleared: Vec<End> = ALL.into_iter().filter(clears).collect();
-        assert_eq!(cleared, [End::Full, End::Past, End::Refused, End::ConnectTimeout, End::Unreachable]);
-        // With its end held back nothing can run, whatever breaks; but what this side gives up may still go out.
-        let breaks = [End::Closed, End::Reset, End::Garbled, End::Silent, End::Dropped];
-        assert!(breaks.into_iter().all(|end| never_ran(outcome(end, Reach::Begun))));
-        assert!(
-            [End::Withdrawn, End::Deadline].into_iter().all(|end| !never_ran(outcome(end, Reach::Begun)))
-        );
-        let stuck: Vec<End> = ALL.into_iter().filter(|e| !never_ran(outcome(*e, Reach::Unsent))).collect();
-        assert_eq!(stuck, [End::Done, End::Broke]);
-    }
-}
+#[path = "../../tests/inside/ends.rs"]
+mod tests;
--- a/src/manager/ledger.rs
+++ b/src/manager/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger of one request: what is out for it, what may have run, and what the rules then allow. Pure.
 use super::ends::End;
 use super::words::Ask;
-use crate::clock::{Micros, nanos};
+use crate::clock::{Micros, micros, nanos};
 use crate::interface::{AttemptNo, Effect, EngineEntry};
 use crate::state::{may_refuse, may_repeat};
 
@@ -80,6 +80,14 @@
         may_repeat(self.effect, nanos(sent_at), Some((on, *to)), nanos(now))
     }
 
+    /// Until when engines know a further attempt by its key as a repeat, if there was one that may have run.
+    pub fn known_until(&self) -> Option<Micros> {
+        match (self.effect, self.first()) {
+            (Effect::Keyed { window, .. }, Some(ran)) => Some(ran.sent_at.saturating_add(micros(window))),
+            _ => None,
+        }
+    }
+
     /// Whether a refusal is honest.
     pub fn may_refuse(&self) -> bool {
         may_refuse(self.effect, self.first().is_some())
--- a/src/manager/words.rs
+++ b/src/manager/words.rs
@@ -82,6 +82,8 @@
     pub id: RequestId,
     /// The attempt.
     pub attempt: AttemptNo,
+    /// The client's connection, which is looked at once more before the first byte goes out.
+    pub conn: u64,
     /// The client's name for the request.
     pub key: Rc<str>,
     /// The name of its class.
--- /dev/null
+++ b/src/net/client/mod.rs
@@ -0,0 +1,110 @@
+//! The listeners of the fronts and the actor of each client connection.
+mod leave;
+mod listener;
+mod peer;
+mod standing;
+mod strikes;
+
+pub use listener::{bind, bind_shared, listen};
+pub use standing::{Standing, let_go, send_away};
+
+use super::core::Input;
+use super::{Bytes, Held, Shared};
+use crate::clock::{self, MS, Micros};
+use crate::front::Front;
+use crate::lifecycle::words::{Handed, Word};
+use crate::log;
+use crate::manager::Answer;
+use crate::manager::ends::End;
+use async_channel::{Receiver, Sender, bounded};
+use async_io::Async;
+use peer::Peer;
+use std::cell::Cell;
+use std::net::TcpStream;
+use std::rc::Rc;
+
+/// Answers that wait for a client's connection: more than a front lets be open on it.
+const MAILBOX: usize = 64;
+/// However many come, one that just came or was just answered has this long to ask.
+const GRACE: Micros = 100 * MS;
+
+/// A connection that another process passed on: its number there, and where to say what is meant for it.
+pub struct Adopted {
+    /// The number.
+    pub number: u64,
+    /// What was read there and not used, and not written yet.
+    pub handed: Handed,
+    /// To the other process.
+    pub older: Sender<Word>,
+}
+
+/// Both ends of a connection's mailbox, with the mark of the request that each answer is for.
+type Mailbox = (Sender<(u64, Answer)>, Receiver<(u64, Answer)>);
+
+/// Starts the actor of a connection, and gives its mailbox.
+pub fn start<F: Front + 'static>(
+    shared: &Rc<Shared>,
+    core: Sender<Input>,
+    stream: Async<TcpStream>,
+    conn: u64,
+    front: F,
+    adopted: Option<Adopted>,
+) -> Sender<(u64, Answer)> {
+    let (answers, mailbox) = bounded(MAILBOX);
+    let (all, mine, socket) = (shared.clone(), answers.clone(), Held::new(&shared.client_sockets));
+    shared.spawn(async move {
+        actor(&all, core, (stream, socket, conn), front, adopted, (mine, mailbox)).await;
+    });
+    answers
+}
+
+async fn actor(
+    shared: &Shared,
+    core: Sender<Input>,
+    (stream, socket, conn): (Async<TcpStream>, Held, u64),
+    front: impl Front,
+    adopted: Option<Adopted>,
+    (answers, mailbox): Mailbox,
+) {
+    let (shed, shedding) = bounded(1);
+    let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
+    let (leaving, passes) = (Cell::new(shared.life.borrow().closing()), Cell::new(false));
+    let stream = Rc::new(stream);
+    let at = Rc::downgrade(&stream);
+    let standing = Rc::new(Standing { useful, idle_since, leaving, passes, shed, stream: at });
+    shared.clients.borrow_mut().insert(conn, standing.clone());
+    let _ = core.send(Input::Opened(conn, answers)).await;
+    let (held, unread) = (Bytes::new(&shared.unwritten_bytes), Bytes::new(&shared.unread_bytes));
+    let (mut unwritten, said, waiting, skimmed) = (Vec::new(), Vec::new(), Vec::new(), 0);
+    let older = adopted.map(|adopted| {
+        unwritten = adopted.handed.unwritten;
+        (adopted.number, adopted.older)
+    });
+    let (core, written) = (&core, 0);
+    let peer = Peer {
+        shared,
+        core,
+        stream,
+        socket,
+        conn,
+        front,
+        unwritten,
+        written,
+        held,
+        unread,
+        said,
+        waiting,
+        skimmed,
+        older,
+    };
+    let passed_by = peer.older.clone();
+    let end = peer.serve(&standing, &mailbox, &shedding).await;
+    if let Some((number, older)) = passed_by {
+        let _ = older.try_send(Word::Gone(number));
+    }
+    shared.clients.borrow_mut().remove(&conn);
+    if !matches!(end, End::Closed | End::Idle | End::Done | End::Overflow) {
+        log!("a client's connection ended: {end:?}");
+    }
+    let _ = core.send(Input::HungUp(conn)).await;
+}
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -1,7 +1,8 @@
 //! The actor of the coordinator: follows its numbered events, comes back after every break, and moves with it.
 use super::list::{Update, parse_record};
 use super::{Shared, until};
-use crate::clock::{self, MS, Micros, SEC};
+use crate::backoff::Backoff;
+use crate::clock::{self, Micros, SEC};
 use crate::log;
 use crate::manager::ends::End;
 use async_channel::{Receiver, Sender};
@@ -15,13 +16,7 @@
 
 /// A frame longer than this is not the protocol: it would hold tens of thousands of engines.
 const MOST_FRAME: usize = 2 * 1024 * 1024;
-/// An empty frame comes each second: a connection without one for so long is dead. Guards against a coordinator
-/// that stops and stays open: the sooner it is asked again, the sooner what it has to tell is known.
-const SILENT: Micros = 1_800 * MS;
 const CONNECT: Micros = SEC;
-/// Time between tries to connect: doubled from the first to the last.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LAST_PAUSE: Duration = Duration::from_millis(800);
 
 /// A frame.
 #[derive(Debug, PartialEq, Eq)]
@@ -123,10 +118,11 @@
 }
 
 /// Runs the follower from the last event that is known; `heard` is called once the coordinator has spoken.
-/// After a move the new address is followed at once, and the old connection read until it ends.
+/// After a move the new address is followed at once, and the old connection read until it ends. The seed is this
+/// manager's own, lest a fleet dials in step.
 pub async fn run(
     shared: Rc<Shared>,
-    last: u64,
+    (last, seed): (u64, u64),
     moves: Receiver<Move>,
     list: Sender<Update>,
     heard: impl Fn() + Clone + 'static,
@@ -142,30 +138,42 @@
         at = addr.or(at);
         if let Some(addr) = at.filter(|addr| again || was != Some(*addr)) {
             place.newest.set(place.newest.get() + 1);
-            shared.spawn(stay(addr, place.clone(), list.clone(), heard.clone()));
+            let backoff = Backoff::new(seed.wrapping_add(place.newest.get()));
+            shared.spawn(stay(addr, place.clone(), backoff, list.clone(), heard.clone()));
         }
     }
 }
 
 /// Follows one address for as long as it is the newest, and its last connection until that ends.
-async fn stay(addr: SocketAddr, place: Rc<Place>, list: Sender<Update>, heard: impl Fn()) {
-    let (mine, mut pause) = (place.newest.get(), FIRST_PAUSE);
+async fn stay(
+    addr: SocketAddr,
+    place: Rc<Place>,
+    mut backoff: Backoff,
+    list: Sender<Update>,
+    heard: impl Fn(),
+) {
+    let mine = place.newest.get();
     while place.newest.get() == mine {
         let (mut follower, spoke) = (Follower::new(place.clone()), Cell::new(false));
         let told = || {
             spoke.set(true);
             heard();
         };
-        let end = follow(addr, &mut follower, &list, &told).await;
+        let silence = backoff.silence();
+        let end = follow(addr, &mut follower, silence, &list, &told).await;
         log!("the coordinator's connection ended: {end:?}");
-        // Guards against waiting long for one that only breaks off now and then.
-        pause = if spoke.get() { FIRST_PAUSE } else { (pause * 2).min(LAST_PAUSE) };
-        Timer::after(pause).await;
+        Timer::after(Duration::from_micros(backoff.pause(spoke.get()))).await;
     }
 }
 
-async fn follow(addr: SocketAddr, follower: &mut Follower, list: &Sender<Update>, heard: &impl Fn()) -> End {
-    let connect = async { Async::<TcpStream>::connect(addr).await.map_err(|_| End::Refused) };
+async fn follow(
+    addr: SocketAddr,
+    follower: &mut Follower,
+    silence: Micros,
+    list: &Sender<Update>,
+    heard: &impl Fn(),
+) -> End {
+    let connect = async { Async::<TcpStream>::connect(addr).await.map_err(|e| End::of_connect(&e)) };
     let late = async {
         until(Some(clock::turn() + CONNECT)).await;
         Err(End::ConnectTimeout)
@@ -174,12 +182,13 @@
         Ok(stream) => stream,
         Err(end) => return end,
     };
+    let _ = stream.get_ref().set_nodelay(true);
     if stream.write_all(&follower.hello()).await.is_err() {
         return End::Reset;
     }
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let silent_at = clock::turn() + SILENT;
+        let silent_at = clock::turn() + silence;
         let read = async { Some(stream.read(&mut buffer).await) };
         let silent = async {
             until(Some(silent_at)).await;
@@ -204,63 +213,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn event(number: u64, kind: u8, records: usize) -> Vec<u8> {
-        let mut out = (9 + 27 * records as u32).to_be_bytes().to_vec();
-        out.extend(number.to_be_bytes());
-        out.push(kind);
-        out.extend(vec![0; 27 * records]);
-        out
-    }
-
-    fn at(last: u64) -> Rc<Place> {
-        Rc::new(Place { last: Cell::new(last), ..Place::default() })
-    }
-
-    /// Guards the numbers across a move: a second connection tells nothing twice and goes on where all stand.
-    #[test]
-    fn two_connections_tell_each_event_once() {
-        let place = at(3);
-        let (mut old, mut new) = (Follower::new(place.clone()), Follower::new(place));
-        assert_eq!(old.feed(&event(4, 2, 1)).unwrap().len(), 1);
-        assert_eq!(new.hello(), 4u64.to_be_bytes());
-        assert_eq!(new.feed(&event(5, 2, 1)).unwrap().len(), 1);
-        assert_eq!(old.feed(&[event(5, 2, 1), event(6, 2, 1)].concat()).unwrap()[0].index, 6);
-        assert!(new.feed(&event(6, 2, 1)).unwrap().is_empty());
-    }
-
-    #[test]
-    fn events_come_once_and_in_order_however_the_bytes_are_cut() {
-        let wire = [event(4, 1, 2), event(4, 0, 0), event(4, 1, 2), event(5, 2, 1)].concat();
-        for step in 1..wire.len() {
-            let mut follower = Follower::new(at(3));
-            let pieces = wire.chunks(step).flat_map(|piece| follower.feed(piece).unwrap());
-            let got: Vec<(u64, bool, usize)> = pieces.map(|u| (u.index, u.whole, u.engines.len())).collect();
-            assert_eq!(got, [(4, true, 2), (5, false, 1)]);
-        }
-    }
-
-    /// Guards against missed changes: a gap is asked for once more, and not forever.
-    #[test]
-    fn a_gap_is_asked_for_again_once() {
-        let mut follower = Follower::new(at(3));
-        assert_eq!(follower.feed(&event(6, 2, 1)).unwrap_err(), End::Dropped);
-        assert_eq!(follower.hello(), 3u64.to_be_bytes());
-        assert_eq!(follower.feed(&event(6, 2, 1)).unwrap()[0].index, 6);
-        assert_eq!(follower.hello(), 6u64.to_be_bytes());
-        // A whole list leaves no gap.
-        assert_eq!(follower.feed(&event(9, 1, 1)).unwrap()[0].index, 9);
-    }
-
-    #[test]
-    fn what_is_no_frame_ends_the_connection() {
-        assert_eq!(frame(&[0xff; 16]).unwrap_err(), End::Garbled);
-        assert_eq!(frame(&event(1, 7, 0)).unwrap_err(), End::Garbled);
-        let mut ragged = event(1, 2, 1);
-        ragged[3] -= 1;
-        assert_eq!(frame(&ragged).unwrap_err(), End::Garbled);
-        assert_eq!(frame(&event(1, 2, 1)[..20]), Ok(None));
-    }
-}
+#[path = "../../tests/inside/coordinator.rs"]
+mod tests;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,7 +3,7 @@
 use super::audit::Keeper;
 use super::duties::Word;
 use super::engine::ToEngine;
-use super::{Shared, until};
+use super::{Shared, client, until};
 use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
 use crate::duties::probing::Sounding;
@@ -24,6 +24,11 @@
 pub const MAILBOX: usize = 4_096;
 /// Messages taken in one turn.
 const TURN_MOST: usize = 256;
+/// With all answered, connections have so long to part properly, but only so long after the last call; looked at this
+/// often.
+const PARTING: Micros = 300 * MS;
+const LAST_PARTING: Micros = 150 * MS;
+const PARTING_LOOK: Micros = 5 * MS;
 /// Figures for operators are put down this often at most.
 const FIGURES_EVERY: Micros = 100 * MS;
 
@@ -107,14 +112,15 @@
     let (orders, duties) = (Vec::new(), None);
     let mut core = Core { manager, clients, engines, orders, ended: false, acting, audit, duties };
     core.manager.audit(core.audit.is_some());
-    let mut figures_at = 0;
+    let (mut figures_at, mut parts_until) = (0, None);
     loop {
         let stop_at = shared.life.borrow().accepts_until();
         let stop_due = stop_at.map(|at| at.max(clock::now() + 5 * MS));
         let life = || shared.life.borrow();
         let last_at = life().gives_up_at(core.manager.longest_deadline()).filter(|_| !core.ended);
         let kept_at = core.audit.as_ref().and_then(Keeper::due);
-        let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).chain(kept_at).min();
+        let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).chain(kept_at);
+        let due = due.chain(parts_until.map(|_| clock::now() + PARTING_LOOK)).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
             None
@@ -148,7 +154,16 @@
         let quiet = core.manager.counters.open() == 0 && mailbox.is_empty() && handed_on;
         // Behind a successor clients go on to use the connections that they keep.
         let kept = life().handed_over() && shared.client_sockets.get() > 0 && !core.ended;
-        if quiet && !kept && stop_at.is_some_and(|at| at <= now) {
+        if quiet && !kept && parts_until.is_none() && stop_at.is_some_and(|at| at <= now) {
+            // All is answered. What the listeners' lines and the sockets still hold gets its answer or a farewell.
+            shared.life.borrow_mut().close();
+            shared.accepting.0.close();
+            client::send_away(&shared);
+            parts_until = Some(now + if core.ended { LAST_PARTING } else { PARTING });
+        }
+        let all = [&shared.listening, &shared.client_sockets, &shared.closing_sockets];
+        let parted = quiet && all.iter().all(|count| count.get() == 0);
+        if parts_until.is_some_and(|until| parted || until <= now) {
             if let Some(audit) = core.audit {
                 audit.finish().await;
             }
--- a/src/net/engine.rs
+++ b/src/net/engine/mod.rs
@@ -1,21 +1,20 @@
 //! The actor of one engine and its pool of connections, each with a task of its own.
+mod connection;
+
 use super::core::Input;
-use super::{Held, Shared, until};
+use super::{Shared, until};
 use crate::clock::{self, Micros, SEC};
 use crate::engine::Wire;
-use crate::engine::link::{Event, Link};
+use crate::engine::link::Link;
 use crate::interface::{AttemptNo, EngineId, LoadReport, OutcomeKind, RequestId};
 use crate::manager::ends::{End, Reach};
 use crate::manager::{Ended, Job};
 use async_channel::{Receiver, Sender, bounded};
-use async_io::Async;
+use connection::Connection;
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::io;
-use std::net::{SocketAddr, TcpStream};
-use std::pin::pin;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Orders that wait for an engine's actor, which never waits itself: more than one turn of the module can give.
@@ -24,8 +23,6 @@
 const GONE_GRACE: Micros = SEC;
 /// Orders that wait for a connection beside those of its attempts.
 const SPARE: usize = 64;
-/// Nothing is written to an engine that does not read for so long.
-const WRITE_STALL: Micros = 5 * SEC;
 
 /// What an engine's actor is told.
 #[derive(Clone, Debug)]
@@ -241,170 +238,6 @@
     handle
 }
 
-struct Connection<W> {
-    link: Link<W>,
-    mailbox: Receiver<ToEngine>,
-    core: Sender<Input>,
-    peer: Rc<Peer>,
-    free: Rc<Cell<usize>>,
-    attempts: Rc<RefCell<BTreeSet<RequestId>>>,
-    stale: Rc<RefCell<BTreeSet<RequestId>>>,
-    proven: Rc<Cell<bool>>,
-    events: Vec<Event>,
-}
-
-enum Turn {
-    Order(Option<ToEngine>),
-    Connected(io::Result<Async<TcpStream>>),
-    Read(io::Result<usize>),
-    Wrote(io::Result<usize>),
-    Due,
-}
-
-impl<W: Wire> Connection<W> {
-    async fn run(mut self, shared: &Shared) {
-        let socket = Held::up_to(&shared.engine_sockets, shared.most_engine_sockets.get());
-        let end = match socket {
-            Some(_) => self.serve(shared).await,
-            None => End::Overflow,
-        };
-        let now = clock::turn();
-        self.mailbox.close();
-        self.link.close(now, end, &mut self.events);
-        // What came too late for this connection never went out.
-        while let Ok(order) = self.mailbox.try_recv() {
-            if let ToEngine::Start(job) = order {
-                refuse(&self.core, &job, end).await;
-            }
-        }
-        self.report().await;
-    }
-
-    async fn serve(&mut self, shared: &Shared) -> End {
-        let stream = match self.make().await {
-            Ok(stream) => stream,
-            Err(end) => return end,
-        };
-        let _ = stream.get_ref().set_nodelay(true);
-        let mut buffer = vec![0; 16 * 1024];
-        let mut written_at = clock::now();
-        loop {
-            if let Some(end) = self.link.over() {
-                return end;
-            }
-            self.report().await;
-            let idle_at = self.link.idle_since().map(|at| at + self.peer.keepalive * 3 / 4);
-            let writing = self.link.to_write().is_some();
-            let stalled_at = writing.then_some(written_at + WRITE_STALL);
-            let due = self.link.next_due().into_iter().chain(idle_at).chain(stalled_at).min();
-            let (mut reader, mut writer) = (&stream, &stream);
-            let to_write = self.link.to_write();
-            let order = async { Turn::Order(self.mailbox.recv().await.ok()) };
-            let write = async {
-                match to_write {
-                    Some(bytes) => Turn::Wrote(writer.write(bytes).await),
-                    None => std::future::pending().await,
-                }
-            };
-            let read = async { Turn::Read(reader.read(&mut buffer).await) };
-            let timer = async {
-                until(due).await;
-                Turn::Due
-            };
-            let turn = or(order, or(write, or(read, timer))).await;
-            let now = clock::turn();
-            if !writing {
-                written_at = now;
-            }
-            match turn {
-                Turn::Order(None) => return End::Dropped,
-                Turn::Order(Some(ToEngine::CloseIdle)) if idle_at.is_some() => return End::Idle,
-                Turn::Order(Some(order)) => self.order(now, order),
-                Turn::Wrote(Ok(n)) => {
-                    self.link.wrote(now, n);
-                    shared.dispatches.set(shared.dispatches.get() + self.link.dispatched());
-                    written_at = now;
-                }
-                Turn::Read(Ok(n)) => {
-                    self.proven.set(true);
-                    self.link.read(now, &buffer[..n], &mut self.events);
-                }
-                Turn::Read(Err(_)) | Turn::Wrote(Err(_)) => return End::Reset,
-                Turn::Due if idle_at.is_some_and(|at| at <= now) => return End::Idle,
-                Turn::Due if stalled_at.is_some_and(|at| at <= now) => return End::Silent,
-                Turn::Due => self.link.due(now, &mut self.events),
-                Turn::Connected(_) => {}
-            }
-        }
-    }
-
-    /// Makes the connection. Orders are obeyed meanwhile: a drain that comes now takes back what waits.
-    async fn make(&mut self) -> Result<Async<TcpStream>, End> {
-        let mut connecting = pin!(Async::<TcpStream>::connect(self.peer.addr));
-        let give_up_at = clock::turn() + self.peer.connect_timeout;
-        loop {
-            self.report().await;
-            let order = async { Turn::Order(self.mailbox.recv().await.ok()) };
-            let connected = async { Turn::Connected(connecting.as_mut().await) };
-            let timer = async {
-                until(Some(give_up_at)).await;
-                Turn::Due
-            };
-            let turn = or(order, or(connected, timer)).await;
-            let now = clock::turn();
-            match turn {
-                Turn::Order(None) => return Err(End::Dropped),
-                Turn::Order(Some(order)) => self.order(now, order),
-                Turn::Connected(Ok(stream)) => return Ok(stream),
-                Turn::Connected(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
-                    return Err(End::Refused);
-                }
-                Turn::Connected(Err(_)) => return Err(End::Unreachable),
-                Turn::Due => return Err(End::ConnectTimeout),
-                Turn::Read(_) | Turn::Wrote(_) => {}
-            }
-        }
-    }
-
-    fn order(&mut self, now: Micros, order: ToEngine) {
-        match order {
-            ToEngine::Start(job) => self.link.start(now, &job),
-            ToEngine::Stop(id, attempt) => self.link.stop(now, id, attempt, &mut self.events),
-            ToEngine::Doubt(id, attempt) => self.link.doubt(id, attempt),
-            ToEngine::Bump(id, attempt, urgency) => self.link.bump(id, attempt, urgency),
-            // Looked up again here: it may have waited for the connection, or the process been stopped meanwhile.
-            ToEngine::Probe(until) if now >= until => {
-                let (kind, load) = (OutcomeKind::Moot, LoadReport::default());
-                self.events.push(Event::Probed { kind, latency: 0, load });
-            }
-            ToEngine::Probe(_) => self.link.probe(now),
-            ToEngine::Drain => self.link.drain(now, &mut self.events),
-            ToEngine::CloseIdle | ToEngine::Resume | ToEngine::Gone => {}
-        }
-    }
-
-    /// Passes on what happened. Waiting for room in the module's mailbox holds back this connection alone.
-    async fn report(&mut self) {
-        if !self.events.is_empty() {
-            // Before the news: a further attempt may come at once.
-            *self.stale.borrow_mut() = self.link.stale().collect();
-        }
-        for event in std::mem::take(&mut self.events) {
-            let input = match event {
-                Event::Ended(ended) => {
-                    self.attempts.borrow_mut().remove(&ended.id);
-                    Input::Ended(ended)
-                }
-                Event::Probed { kind, latency, load } => {
-                    Input::Probed { engine: self.peer.id, kind, latency, load }
-                }
-            };
-            let _ = self.core.send(input).await;
-        }
-        self.free.set(self.link.free());
-    }
-}
-
 #[cfg(test)]
-#[path = "../../tests/inside/engine.rs"]
+#[path = "../../../tests/inside/engine.rs"]
 mod tests;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -56,6 +56,12 @@
     pub client_sockets: Rc<Cell<usize>>,
     /// How many there may be.
     pub most_client_sockets: Cell<usize>,
+    /// Connections that were ended here and wait for their client's end, and how many there may be.
+    pub closing_sockets: Rc<Cell<usize>>,
+    /// That many.
+    pub most_closing_sockets: Cell<usize>,
+    /// Listeners that accept clients.
+    pub listening: Rc<Cell<usize>>,
     /// Client connections that still have answers to write.
     pub unwritten: Rc<Cell<usize>>,
     /// Bytes that clients have not taken yet, over all connections, and how many stop the reading of requests.
@@ -103,6 +109,9 @@
             most_engine_sockets: Cell::new(0),
             client_sockets: Rc::default(),
             most_client_sockets: Cell::new(0),
+            closing_sockets: Rc::default(),
+            most_closing_sockets: Cell::new(0),
+            listening: Rc::default(),
             unwritten: Rc::default(),
             unwritten_bytes: Cell::new(0),
             most_unwritten_bytes: Cell::new(0),
@@ -122,24 +131,36 @@
         shared
     }
 
-    /// Sets the limits: those of the start, or new ones.
+    /// Sets the limits: those of the start, or new ones. What the system allows counts where it is less.
     pub fn limit(&self, sockets: usize, memory_mb: u64) {
+        let system = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let sockets =
+            sockets.min(system.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX)));
         self.limits.set((sockets, memory_mb));
         self.split();
     }
 
     /// Takes this process's part of the limits, which is all of them while it is alone. The quarter of descriptors
-    /// that is neither for clients nor for engines holds the second address, the coordinator and the other process.
+    /// that is neither for clients nor for engines holds the second address, the coordinator, the other process and, up
+    /// to a half of it, connections that were ended here and wait for their client's end.
     pub fn split(&self) {
         let (part, (sockets, memory_mb)) = (self.life.borrow().part().max(0.1), self.limits.get());
         let (sockets, memory_mb) = ((sockets as f64 * part) as usize, (memory_mb as f64 * part) as u64);
         self.most_engine_sockets.set((sockets / 4).max(4));
         self.most_client_sockets.set((sockets / 2).max(4));
+        self.most_closing_sockets.set((sockets / 8).max(2));
         let part = ((memory_mb.clamp(8, 1 << 20) / 8) as usize) << 20;
         self.most_unwritten_bytes.set(part);
         self.most_unread_bytes.set(part);
     }
 
+    /// Whether the client of that connection has gone, read up to there or not: to be looked up at the instant in which
+    /// something begins for it.
+    pub fn client_gone(&self, conn: u64) -> bool {
+        let standing = self.clients.borrow().get(&conn).cloned();
+        standing.is_none_or(|standing| standing.gone())
+    }
+
     /// What operators are told now.
     pub fn figures(&self) -> Figures {
         Figures { dispatches: self.dispatches.get(), ..self.figures.borrow().clone() }
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -48,7 +48,8 @@
     pub(super) fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
         let Some((first, sent)) = r.first() else { return true };
         let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
-        may_repeat(self.effect(r), sent, pair, now)
+        // A repeat has to end while engines know its key, not only to begin.
+        may_repeat(self.effect(r), sent, pair, now + nanos(self.alone(r)))
     }
 
     /// Whether it would stand still there for a load: an own one, or one that others were seen to wait for.
