Force the crossings of ends on clients' connections in tests, and mend a spin that they found

tests/inside/client.rs drives the actor of a connection on real sockets: it stands still until the byte or the close is where the test wants it. Both orders of: a request and the shutdown at the process's end; a request and a shed; a withdrawal and an end on a connection that is read slowly, or whose answers are not taken; connections in the listener's line.

--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -108,3 +108,7 @@
     }
     let _ = core.send(Input::HungUp(conn)).await;
 }
+
+#[cfg(test)]
+#[path = "../../../tests/inside/client.rs"]
+mod tests;
--- a/src/net/client/peer.rs
+++ b/src/net/client/peer.rs
@@ -202,8 +202,9 @@
             let shed = async {
                 match (idle, rests_until.is_some_and(|at| at <= now)) {
                     (true, true) => {}
-                    (true, _) => drop(shedding.recv().await),
-                    (false, _) => std::future::pending().await,
+                    // What waits to be read comes first.
+                    (true, _) if !unread => drop(shedding.recv().await),
+                    _ => std::future::pending().await,
                 }
                 Turn::Shed
             };
@@ -277,7 +278,8 @@
                     self.front.cut_off(Cut::Late, &mut self.unwritten);
                 }
                 Turn::Due if by(owed) || by(silent) => {
-                    unread = self.has_unread();
+                    // One that sent more than is kept, and nothing usable, is not waited for.
+                    unread = self.has_unread() && !blind;
                     if !unread {
                         return self.farewell(End::Idle).await;
                     }
