--- a/tests/inside/client.rs
+++ b/tests/inside/client.rs
@@ -94,7 +94,7 @@
     /// Asked and taken: open from here on.
     fn asks(&self, id: u64) {
         self.write(&line(id));
-        self.says(|input| ask_of(&input).map(|ask| ask.origin.tag)).0;
+        self.says(|input| ask_of(&input).map(|ask| ask.origin.tag));
     }
 
     /// The last phase of the process.
--- a/tests/inside/engine.rs
+++ b/tests/inside/engine.rs
@@ -1,8 +1,19 @@
-//! Which connection of an engine carries an attempt.
-use super::{Handle, bounded};
-use crate::interface::{AttemptNo, RequestId};
+//! Which connection of an engine carries an attempt, and for whom none begins.
+use super::{Handle, Peer, ToEngine, bounded, spawn};
+use crate::clock::SEC;
+use crate::config::Names;
+use crate::engine::platform::Platform;
+use crate::front::jsonrpc::JsonRpc;
+use crate::interface::{AttemptNo, EngineId, RequestId};
+use crate::kit::{eventually, listener};
 use crate::manager::Job;
+use crate::net::Shared;
+use crate::net::core::Input;
+use async_channel::Sender;
+use async_io::Async;
 use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::rc::Rc;
 
 fn job(single: bool) -> Job {
@@ -40,3 +51,87 @@
     assert_eq!(pick(job(true)), Some(2));
     assert_eq!(pick(job(false)), Some(1), "others share the fullest");
 }
+
+/// A client's connection with its actor, which is not let go on, and the client's end of it.
+fn client(shared: &Rc<Shared>, core: &Sender<Input>, conn: u64) -> TcpStream {
+    let (line, addr) = listener();
+    let client = TcpStream::connect(addr).expect("a connection");
+    let (stream, _) = line.get_ref().accept().expect("a connection");
+    let front = JsonRpc::new(conn, Rc::default(), Rc::new(|| true));
+    crate::net::client::start(shared, core.clone(), Async::new(stream).expect("a socket"), conn, front, None);
+    client
+}
+
+/// What an engine reads of one attempt whose client goes, with bytes of it that nobody has read, before or after the
+/// attempt's first byte; and what the core is told.
+fn dispatch(gone_before: bool) -> (String, Vec<String>) {
+    let shared = Shared::new(64, 64);
+    let (core, inputs) = bounded(100);
+    let (line, addr) = listener();
+    let connect_timeout = 5 * SEC;
+    let peer = Peer { id: EngineId(1), addr, connect_timeout, keepalive: 15 * SEC, databases: false };
+    let names = Rc::new(Names { streams: 4, ..Names::default() });
+    let orders = spawn(&shared, core.clone(), peer, move || Platform::new(names.clone()));
+    let run = |holds: &mut dyn FnMut() -> bool| {
+        assert!(async_io::block_on(shared.executor.run(eventually(holds))), "it never came to that");
+    };
+    let mut client = Some(client(&shared, &core, 7));
+    run(&mut || shared.clients.borrow().contains_key(&7));
+    let leaves = |client: &mut Option<TcpStream>| {
+        // Its actor reads slowly, or is about to: it stands still while this is written and the end follows.
+        let mut client = client.take().expect("a client");
+        client.write_all(b"{\"jsonrpc\":").expect("written");
+    };
+    let now = crate::clock::turn();
+    let job = Job { conn: 7, statement: Rc::from(&b"SELECT 1"[..]), until: now + 9 * SEC, ..job(false) };
+    if gone_before {
+        leaves(&mut client);
+    }
+    orders.try_send(ToEngine::Start(job)).expect("room");
+    let mut text = Vec::new();
+    let (mut told, mut kept) = (Vec::new(), Vec::new());
+    let mut stream = None;
+    run(&mut || {
+        stream = stream.take().or_else(|| line.get_ref().accept().ok()).inspect(|(stream, _)| {
+            stream.set_nonblocking(true).expect("a socket");
+        });
+        let mut piece = [0; 256];
+        if let Some((stream, _)) = &stream
+            && let Ok(n) = (&*stream).read(&mut piece)
+        {
+            text.extend_from_slice(&piece[..n]);
+        }
+        while let Ok(input) = inputs.try_recv() {
+            match input {
+                Input::HungUp(conn) => told.push(format!("hung up {conn}")),
+                Input::Ended(ended) => told.push(format!("{:?} {:?}", ended.end, ended.reach)),
+                Input::Opened(_, answers) => kept.push(answers),
+                _ => {}
+            }
+        }
+        if text.ends_with(b"SELECT 1\r\n") && client.is_some() {
+            leaves(&mut client);
+        }
+        !told.is_empty() && (gone_before == told.iter().any(|t| t.contains("Unsent")))
+    });
+    (String::from_utf8(text).expect("text"), told)
+}
+
+/// Guards against work for nobody, first order: the client has gone when the attempt is about to go out, its end behind
+/// bytes that nobody has read. Not a byte goes out, and the core hears of the client before it hears of the attempt.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_gone() {
+    let (text, told) = dispatch(true);
+    assert_eq!(text, "");
+    let hung_up = told.iter().position(|t| t == "hung up 7");
+    let unsent = told.iter().position(|t| t == "Withdrawn Unsent");
+    assert!(hung_up < unsent && hung_up.is_some(), "{told:?}");
+}
+
+/// The other order: what has begun goes out whole, once.
+#[test]
+fn an_attempt_that_has_begun_goes_out_whole_though_its_client_goes() {
+    let (text, told) = dispatch(false);
+    assert_eq!(text.matches("do k ").count(), 1, "{text}");
+    assert!(told.iter().any(|t| t == "hung up 7") && !told.iter().any(|t| t.contains("Unsent")), "{told:?}");
+}
--- a/tests/inside/ledger.rs
+++ b/tests/inside/ledger.rs
@@ -78,3 +78,13 @@
         assert_eq!(Open { outs: vec![out(here, 0, SEC)], ..open(effect, 2) }.may_refuse(), is_out);
     }
 }
+
+/// Guards rule 2 for a window however short: what is sent again has to be over while engines still know its key.
+#[test]
+fn a_repeat_is_over_before_its_keys_window_is() {
+    let here = engine(1, 0, 0);
+    let ran = |effect| Open { ran: Some(Ran { on: here, sent_at: SEC }), sends: 1, ..open(effect, 1) };
+    assert_eq!(ran(keyed(Scope::All)).known_until(), Some(SEC + WINDOW));
+    assert_eq!([ran(Effect::Safe), ran(Effect::Unsafe)].map(|open| open.known_until()), [None; 2]);
+    assert_eq!(open(keyed(Scope::All), 1).known_until(), None, "nothing ran: no window");
+}
--- a/tests/inside/manager.rs
+++ b/tests/inside/manager.rs
@@ -381,10 +381,10 @@
 }
 
 /// A core of one gateway whose loads carry keys, where priorities and costs count.
-fn keyed_manager() -> Manager {
+fn keyed_manager(window: Micros) -> Manager {
     let mut text = crate::kit::daemon::settings();
     (text["classes"][2]["semantics"], text["classes"][2]["window_ns"]) =
-        ("token".into(), 20_000_000_000u64.into());
+        ("token".into(), nanos(window).into());
     (text["extra"]["ranks_heeded"], text["extra"]["says_cost"]) = (true.into(), true.into());
     let settings = settings::parse(text.to_string().as_bytes()).expect("settings");
     let mut manager = Manager::new(SEC, settings, &["lookup", "report", "load"].map(str::to_owned), 7);
@@ -393,15 +393,20 @@
     manager
 }
 
-/// Takes a load and answers each of its attempts with a reset, for as long as there are any.
-fn resets(once: Option<&str>) -> (Vec<Option<Rc<str>>>, Option<Answer>) {
-    let (mut manager, mut now, mut nonces, mut answer) = (keyed_manager(), SEC, Vec::new(), None);
+/// Takes a load and answers each of its attempts with a reset, for as long as there are any: the key and the end of the
+/// time of each.
+fn resets(
+    once: Option<&str>,
+    window: Micros,
+    cost: Micros,
+) -> (Vec<(Option<Rc<str>>, Micros)>, Option<Answer>) {
+    let (mut manager, mut now, mut sent, mut answer) = (keyed_manager(window), SEC, Vec::new(), None);
     let ask = Ask {
         origin: Origin { conn: 1, tag: 1 },
         key: "9b1f03aa5c7e2d41".into(),
         class: ClassId(2),
         give_up_at: 16 * SEC,
-        cost: Some(50 * MS),
+        cost: Some(cost),
         once: once.map(Into::into),
         ..Ask::default()
     };
@@ -412,7 +417,7 @@
             match order {
                 Order::Start(_, job) => {
                     assert_eq!(job.single, once.is_none());
-                    nonces.push(job.nonce.clone());
+                    sent.push((job.nonce.clone(), job.until));
                     let ended = Ended::bare(job.id, job.attempt, End::Reset, Reach::Sent);
                     manager.ended(now, ended, &mut orders);
                 }
@@ -423,23 +428,39 @@
         now += 100 * MS;
         manager.due(now, &mut orders);
     }
-    (nonces, answer)
+    (sent, answer)
 }
 
 /// Guards rule 2: all tries of a keyed request carry its key unchanged, and without one there is a single try.
 #[test]
 fn a_keyed_request_repeats_under_its_key_alone() {
     let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
-    let (nonces, answer) = resets(Some(key));
+    let (sent, answer) = resets(Some(key), 20 * SEC, 50 * MS);
+    let nonces: Vec<_> = sent.into_iter().map(|(nonce, _)| nonce).collect();
     assert_eq!(nonces, vec![Some(Rc::from(key)); 3], "as many as the settings allow");
     assert!(matches!(answer, Some(Answer::Refused(_))), "{answer:?}");
-    assert_eq!(resets(None), (vec![None], Some(Answer::Failed(Failure::Attempt(End::Reset)))));
+    let once = Some(Answer::Failed(Failure::Attempt(End::Reset)));
+    assert_eq!(resets(None, 20 * SEC, 50 * MS), (vec![(None, 16 * SEC)], once));
+}
+
+/// Guards rule 2 where the window is shorter than the deadline: a further attempt has its time up before engines forget
+/// its key, and one that can't be over by then is not made.
+#[test]
+fn further_attempts_end_inside_their_keys_window() {
+    let (sent, answer) = resets(Some("key"), SEC, 50 * MS);
+    let untils: Vec<Micros> = sent.iter().map(|(_, until)| *until).collect();
+    assert!(untils[0] == 16 * SEC && untils.len() == 3, "{untils:?}");
+    assert!(untils[1..].iter().all(|until| *until <= 2 * SEC - 50 * MS), "{untils:?}");
+    assert!(matches!(answer, Some(Answer::Refused(_))), "{answer:?}");
+    let (sent, answer) = resets(Some("key"), SEC, 5 * SEC);
+    assert_eq!(sent.len(), 1, "{sent:?}");
+    assert!(matches!(answer, Some(Answer::Refused(_))), "{answer:?}");
 }
 
 /// Priorities go out where they are heeded, at once for what runs; costs reach the module.
 #[test]
 fn priorities_and_costs_count_where_the_settings_heed_them() {
-    let mut manager = keyed_manager();
+    let mut manager = keyed_manager(20 * SEC);
     let mut orders = Vec::new();
     let ask = |tag: u64| Ask {
         origin: Origin { conn: 1, tag },
