--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,3 +37,7 @@
 #[cfg(test)]
 #[path = "../tests/inside/law.rs"]
 mod law;
+
+#[cfg(test)]
+#[path = "../tests/inside/mutation.rs"]
+mod mutation;
--- a/src/net/console.rs
+++ b/src/net/console.rs
@@ -57,6 +57,7 @@
 }
 
 async fn serve(shared: &Shared, mut stream: Async<TcpStream>, shed: Receiver<()>) {
+    let _ = stream.get_ref().set_nodelay(true);
     let late_at = clock::turn() + OWED;
     let shed = async {
         let _ = shed.recv().await;
--- a/src/net/coordinator.rs
+++ b/src/net/coordinator.rs
@@ -55,6 +55,13 @@
     newest: Cell<u64>,
 }
 
+impl Place {
+    /// After that event.
+    pub fn at(last: u64) -> Place {
+        Place { last: Cell::new(last), ..Place::default() }
+    }
+}
+
 /// One connection's reader.
 pub struct Follower {
     place: Rc<Place>,
@@ -127,7 +134,7 @@
     list: Sender<Update>,
     heard: impl Fn() + Clone + 'static,
 ) {
-    let place = Rc::new(Place { last: Cell::new(last), ..Place::default() });
+    let place = Rc::new(Place::at(last));
     let mut at = None;
     while let Ok(Move { addr, known }) = moves.recv().await {
         for update in known.into_iter().filter(|u| u.index > place.last.get()) {
--- a/src/net/directory.rs
+++ b/src/net/directory.rs
@@ -24,6 +24,7 @@
     let reading = async {
         let broken = |_| Fault::Connection;
         let mut stream = Async::<TcpStream>::connect(line.addr).await.map_err(broken)?;
+        let _ = stream.get_ref().set_nodelay(true);
         let (mut reading, hello) = Reading::new(line.clone());
         stream.write_all(&hello).await.map_err(broken)?;
         let mut buffer = vec![0; 16 * 1024];
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -16,7 +16,8 @@
 
 impl Gateway {
     /// Rule 4: work sent to a cold engine by all gateways in the stated window stays in the budget. A part
-    /// that holds the query is kept by counting; below that, whole queries go out in turns.
+    /// that holds the query is kept by counting; below that, whole queries go out in turns. Bound of the sum:
+    /// the margin, 1.5 times it with counts and turns beside each other, and the part that restarts forget.
     pub(super) fn cold_allows(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
         let (rules, warmth) = (&self.s.rules, e.warmth(now, &self.s.rules));
         let rate = rules.fall_multiple * warmth * e.cores * USUAL_BUSY * COLD_MARGIN;
