Read what was put off in pieces of 16 KB, lest a flood takes a long turn

At fault, peer.rs: up to 64 KB put off on a flooding connection were read in one turn, where 16 KB at a time were before. Now 16 KB a turn; a withdrawal that still waits counts for what was just asked. Ruled out by reading: the look at the socket before a dispatch, one system call an attempt.

--- a/src/net/client/peer.rs
+++ b/src/net/client/peer.rs
@@ -30,6 +30,8 @@
 /// client's end is looked for this often.
 const MOST_WAITING: usize = 64 * 1024;
 const LOOK: Micros = 20 * MS;
+/// So much of that is read at a time.
+const PIECE: usize = 16 * 1024;
 /// One that does not read its answers is cut off after this time.
 const WRITE_STALL: Micros = 10 * SEC;
 /// When to come back, through another manager, from one that has to let the connection go.
@@ -117,6 +119,8 @@
             Came::Waited(bytes) => self.front.feed(now, bytes, &mut self.said, &mut self.unwritten),
         };
         strikes.add(now, self.front.strikes() - before);
+        // A withdrawal of what was just asked may stand in what still waits.
+        self.skimmed = self.front.skim(&self.waiting, 0, &mut self.said);
         self.unread.set(self.front.held() + self.waiting.len());
         self.pass_on(now).await;
         fed
@@ -168,11 +172,12 @@
             let paused = strikes.pause(now).filter(|_| !ending);
             let slowly = full || paused.is_some();
             if !slowly && !self.waiting.is_empty() {
-                let waited = std::mem::take(&mut self.waiting);
-                self.skimmed = 0;
-                if let Err(end) = self.take_in(now, Came::Waited(&waited), &mut strikes).await {
+                let rest = self.waiting.split_off(self.waiting.len().min(PIECE));
+                let piece = std::mem::replace(&mut self.waiting, rest);
+                if let Err(end) = self.take_in(now, Came::Waited(&piece), &mut strikes).await {
                     return self.farewell(end).await;
                 }
+                // Guards the others: what waited long is many messages.
                 yield_now().await;
                 continue;
             }
