Drop a request for a withdrawal after it alone, and part by the lifecycle's word alone

Seen on reading the change again, in src/net/client: - without_withdrawn paired by mark alone: a withdrawal followed by a new request under the same mark, in one read, dropped both, and the old request stayed open. It pairs a withdrawal with what was asked before it now; a test sends them in that order. - That the process parts was kept twice, in the lifecycle and in Standing::leaving; with a second address let_go set the copy back 20 ms later, and a connection that was not quiet at that moment was kept until the process ended. The actor asks the lifecycle alone; send_away only wakes. This one has no test of its own. - Two tests picked withdrawals by the same closure.

--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -68,7 +68,7 @@
 ) {
     let (shed, shedding) = bounded(1);
     let (useful, idle_since) = (Cell::new(false), Cell::new(Some(clock::turn())));
-    let (leaving, passes) = (Cell::new(shared.life.borrow().closing()), Cell::new(false));
+    let (leaving, passes) = (Cell::new(false), Cell::new(false));
     let stream = Rc::new(stream);
     let at = Rc::downgrade(&stream);
     let standing = Rc::new(Standing { useful, idle_since, leaving, passes, shed, stream: at });
--- a/src/net/client/peer.rs
+++ b/src/net/client/peer.rs
@@ -12,7 +12,7 @@
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::{or, yield_now};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -84,7 +84,7 @@
 impl<F: Front> Peer<'_, F> {
     /// Waiting for room in the module's mailbox holds back this client alone.
     async fn pass_on(&mut self, now: Micros) {
-        let mut all: VecDeque<Said> = without_withdrawn(std::mem::take(&mut self.said)).into();
+        let mut all = without_withdrawn(std::mem::take(&mut self.said));
         while let Some(said) = all.pop_front() {
             let input = match said {
                 // Guards against a connection that is never quiet and would be held through a drain.
@@ -200,7 +200,7 @@
             let answer = async { Turn::Answer(mailbox.recv().await.ok()) };
             // One that has something open by now stays. At the very end half a message asks for nothing.
             let quiet = (ending || (self.front.began().is_none() && self.front.held() == 0)) && !unread;
-            let rests = quiet && standing.leaving.get();
+            let rests = quiet && (ending || standing.leaving.get());
             let rests_until =
                 rests.then(|| active_at + self.shared.life.borrow().rest(self.conn, now, useful));
             let due = due.into_iter().chain(rests_until.filter(|at| idle && *at > now)).min();
@@ -296,18 +296,20 @@
     }
 }
 
-/// Leaves out what was asked and withdrawn in one breath: nobody waits for it, and nothing of it is to be sent on.
-fn without_withdrawn(mut all: Vec<Said>) -> Vec<Said> {
-    let withdrawn = |said: &Said| if let Said::Withdraw(tag) = said { Some(*tag) } else { None };
-    let gone: BTreeSet<u64> = all.iter().filter_map(withdrawn).collect();
-    let asked = |said: &Said| match said {
-        Said::Ask(ask) => Some(ask.origin.tag).filter(|tag| gone.contains(tag)),
-        _ => None,
-    };
-    let both: BTreeSet<u64> = all.iter().filter_map(asked).collect();
-    if !both.is_empty() {
-        let of = |said: &Said| asked(said).or_else(|| withdrawn(said));
-        all.retain(|said| of(said).is_none_or(|tag| !both.contains(&tag)));
+/// Leaves out what was asked and withdrawn after it in one breath: nobody waits for it, and nothing of it is to be sent on.
+fn without_withdrawn(all: Vec<Said>) -> VecDeque<Said> {
+    let mut kept: VecDeque<Said> = VecDeque::with_capacity(all.len());
+    for said in all {
+        let asked = match said {
+            Said::Withdraw(tag) => {
+                kept.iter().rposition(|s| matches!(s, Said::Ask(ask) if ask.origin.tag == tag))
+            }
+            _ => None,
+        };
+        match asked {
+            Some(at) => drop(kept.remove(at)),
+            None => kept.push_back(said),
+        }
     }
-    all
+    kept
 }
--- a/src/net/client/standing.rs
+++ b/src/net/client/standing.rs
@@ -73,10 +73,9 @@
     }
 }
 
-/// The program is about to end: every connection leaves at its next quiet moment, each with a proper farewell.
+/// The program is about to end, as the lifecycle says: every connection looks whether it is quiet, and leaves.
 pub fn send_away(shared: &Shared) {
     for standing in shared.clients.borrow().values() {
-        standing.leaving.set(true);
         let _ = standing.shed.try_send(());
     }
 }
--- a/tests/inside/client.rs
+++ b/tests/inside/client.rs
@@ -43,6 +43,10 @@
     if let Input::Ask(ask) = input { Some(ask) } else { None }
 }
 
+fn withdrawn(input: Input) -> Option<u64> {
+    if let Input::Withdraw(origin) = input { Some(origin.tag) } else { None }
+}
+
 impl Rig {
     fn new() -> Rig {
         let (line, addr) = listener();
@@ -254,10 +258,7 @@
     rig.asks(1);
     flooded(&rig);
     rig.write(&[line(2), withdraw(2), line(3), withdraw(1)].concat());
-    let (tag, asks) = rig.says(|input| match input {
-        Input::Withdraw(origin) => Some(origin.tag),
-        _ => None,
-    });
+    let (tag, asks) = rig.says(withdrawn);
     assert_eq!((tag, asks), (1, 0), "the request before it is not read yet");
     // What was asked and withdrawn is never asked; what stands is, once its time has come.
     let (tag, asks) = rig.says(|input| ask_of(&input).map(|ask| ask.origin.tag));
@@ -265,6 +266,17 @@
     rig.parts();
 }
 
+/// Guards a mark that comes again: a withdrawal is of what was asked before it, not of what is asked after it.
+#[test]
+fn a_withdrawal_is_of_what_was_asked_before_it() {
+    let rig = Rig::new();
+    rig.opened();
+    rig.asks(1);
+    rig.write(&[withdraw(1), line(1)].concat());
+    assert_eq!(rig.says(withdrawn), (1, 1));
+    rig.parts();
+}
+
 /// The same for the end of the connection, with more before it than is kept for later.
 #[test]
 fn a_client_that_goes_is_seen_while_it_is_read_slowly() {
@@ -291,10 +303,7 @@
     }
     rig.until(|| rig.shared.unwritten_bytes.get() > 8 << 20);
     rig.write(&withdraw(9));
-    let (tag, _) = rig.says(|input| match input {
-        Input::Withdraw(origin) => Some(origin.tag),
-        _ => None,
-    });
+    let (tag, _) = rig.says(withdrawn);
     assert_eq!(tag, 9);
     rig.client.shutdown(Shutdown::Write).expect("a socket");
     rig.says(|input| matches!(input, Input::HungUp(1)).then_some(()));
