Keep a listed engine as a row; make its actor at the first use and let it go when idle

Each turn of the core looked into the mailbox of every client, and every 20 ms all clients were asked whether to let go, with none to be let go.

Change: `net::engine::Row` holds where an engine listens and whether it drains, told at once by the list whether there is an actor or not. An actor is made by the first order that begins something and ends with its last connection; mailboxes grow with what is in them, bounded as before (`net::mailbox`). A whole list is taken in n log n. The core looks at all clients in a turn that may be the last, and `let_go` where kept connections are to go.

Tests: tests/inside/rows.rs forces drain, withdrawal, probe, attempt, a process that comes back under the address, and no descriptor across the making and the end of an actor, after every number of steps; tests/allocations.rs counts bytes an engine at three sizes. The test of replaced engines moved to tests/inside/list.rs as it was, its engines now in use.

--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -199,6 +199,11 @@
         self.stopping_at.map(|at| at + linger)
     }
 
+    /// Whether kept connections of clients are to be let go, now or soon.
+    pub fn lets_go(&self) -> bool {
+        self.drained() || self.handed_over()
+    }
+
     /// When a kept connection of a client is to be let go, at the next moment that it is quiet, if ever.
     pub fn lets_go_at(&self, conn: u64) -> Option<Micros> {
         let spread = |most: Micros| conn.wrapping_mul(MIX) % most;
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -111,4 +111,4 @@
 
 #[cfg(test)]
 #[path = "../../../tests/inside/client.rs"]
-mod tests;
+pub(super) mod tests;
--- a/src/net/client/standing.rs
+++ b/src/net/client/standing.rs
@@ -57,12 +57,18 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Lets kept connections go when the lifecycle says so: each closes itself at its next quiet moment.
 pub async fn let_go(shared: Rc<Shared>) {
+    let mut letting_go = false;
     loop {
         Timer::after(LOOK).await;
         let (now, life) = (clock::turn(), shared.life.borrow());
         if life.handed_over() {
             shared.accepting.0.close();
         }
+        // While none is to be let go, and none was at the last look, nobody is told anything: idle clients cost no turn.
+        let before = std::mem::replace(&mut letting_go, life.lets_go());
+        if !letting_go && !before {
+            continue;
+        }
         for (conn, standing) in shared.clients.borrow().iter() {
             let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
             let passes = life.handed_over();
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,7 +2,7 @@
 //! waits for any of them.
 use super::audit::Keeper;
 use super::duties::Word;
-use super::engine::ToEngine;
+use super::engine::{Row, ToEngine};
 use super::{Shared, client, until};
 use crate::audit::Acting;
 use crate::clock::{self, MS, Micros};
@@ -57,8 +57,8 @@
         /// Its load.
         load: LoadReport,
     },
-    /// News of the list, the actors of new engines, and the number of its event.
-    List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Sender<ToEngine>)>, u64),
+    /// News of the list, the rows of new engines, and the number of its event.
+    List(ListKind, Vec<EngineEntry>, Vec<(EngineId, Rc<Row>)>, u64),
     /// New settings with the names of their classes and a hash of them; told back are all classes by their ids, and
     /// whether each is in force.
     Retune(Box<Settings>, Vec<String>, u64, Sender<Vec<(Class, bool)>>),
@@ -89,7 +89,7 @@
 struct Core {
     manager: Manager,
     clients: HashMap<u64, Sender<(u64, Answer)>>,
-    engines: HashMap<EngineId, Sender<ToEngine>>,
+    engines: HashMap<EngineId, Rc<Row>>,
     orders: Vec<Order>,
     /// What was still open at the end has been answered.
     ended: bool,
@@ -148,6 +148,10 @@
         if let Some(audit) = &mut core.audit {
             audit.turn(now, &core.manager.decisions());
         }
+        // Every turn comes by here: only one that may be the last looks at all the clients.
+        if stop_at.is_none() && parts_until.is_none() {
+            continue;
+        }
         // Guards against an end that takes the last answer along: it may still be in its client's mailbox, or
         // not written yet.
         let handed_on = shared.unwritten.get() == 0 && core.clients.values().all(Sender::is_empty);
@@ -213,9 +217,9 @@
                 // What was asked for others tells the module something too.
                 manager.probed(now, engine, kind, latency, load, orders);
             }
-            Input::List(kind, entries, actors, _) => {
-                self.engines.retain(|_, actor| !actor.is_closed());
-                self.engines.extend(actors);
+            Input::List(kind, entries, rows, _) => {
+                self.engines.retain(|_, row| !row.is_closed());
+                self.engines.extend(rows);
                 manager.list(now, kind, entries, orders);
             }
             Input::Retune(settings, names, _, done) => {
@@ -258,23 +262,23 @@
         match order {
             Order::Start(engine, job) => {
                 let (id, attempt) = (job.id, job.attempt);
-                if !self.to_engine(engine, ToEngine::Start(job)) {
-                    let ended = Ended::bare(id, attempt, End::Overflow, Reach::Unsent);
+                if let Err(end) = self.to_engine(engine, ToEngine::Start(job)) {
+                    let ended = Ended::bare(id, attempt, end, Reach::Unsent);
                     self.manager.ended(now, ended, &mut self.orders);
                 }
             }
             Order::Stop(engine, id, attempt) => {
-                if !self.to_engine(engine, ToEngine::Stop(id, attempt)) {
+                if self.to_engine(engine, ToEngine::Stop(id, attempt)).is_err() {
                     // Guards against a lost word: with the mailbox closed the engine's connections end.
-                    self.engines.get(&engine).map(Sender::close);
+                    self.engines.get(&engine).iter().for_each(|row| row.cut());
                     log!("the mailbox of engine {} overflowed", engine.0);
                 }
             }
             Order::Doubt(engine, id, attempt) => {
-                self.to_engine(engine, ToEngine::Doubt(id, attempt));
+                let _ = self.to_engine(engine, ToEngine::Doubt(id, attempt));
             }
             Order::Bump(engine, id, attempt, urgency) => {
-                self.to_engine(engine, ToEngine::Bump(id, attempt, urgency));
+                let _ = self.to_engine(engine, ToEngine::Bump(id, attempt, urgency));
             }
             Order::Probe(engine) => {
                 // Where duties are shared out, their owner asks; without room there it is done as without duties.
@@ -299,7 +303,7 @@
     /// Asks an engine for its load, for the module or, until then, for other managers.
     fn probe(&mut self, now: Micros, engine: EngineId, until: Option<Micros>) {
         let late = until.is_some_and(|until| now >= until);
-        if late || !self.to_engine(engine, ToEngine::Probe(until.unwrap_or(Micros::MAX))) {
+        if late || self.to_engine(engine, ToEngine::Probe(until.unwrap_or(Micros::MAX))).is_err() {
             if until.is_some() {
                 let failed = Word::Answered(engine.0, None);
                 self.duties.iter().for_each(|duties| _ = duties.try_send(failed.clone()));
@@ -310,7 +314,8 @@
         }
     }
 
-    fn to_engine(&self, engine: EngineId, order: ToEngine) -> bool {
-        self.engines.get(&engine).is_some_and(|actor| actor.try_send(order).is_ok())
+    /// Passes an order to an engine's row; how an attempt has ended that can't begin there.
+    fn to_engine(&self, engine: EngineId, order: ToEngine) -> Result<(), End> {
+        self.engines.get(&engine).map_or(Err(End::Overflow), |row| row.tell(order))
     }
 }
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -6,6 +6,7 @@
 use crate::interface::{LoadReport, OutcomeKind, RequestId};
 use crate::manager::ends::End;
 use crate::net::core::Input;
+use crate::net::mailbox::Sender as Post;
 use crate::net::{Held, Shared, until};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
@@ -43,7 +44,8 @@
 }
 
 impl<W: Wire> Connection<W> {
-    pub(super) async fn run(mut self, shared: &Shared) {
+    /// Runs to its end, of which its engine's actor is told.
+    pub(super) async fn run(mut self, shared: &Shared, actor: &Post<ToEngine>) {
         let socket = Held::up_to(&shared.engine_sockets, shared.most_engine_sockets.get());
         let end = match socket {
             Some(_) => self.serve(shared).await,
@@ -59,6 +61,8 @@
             }
         }
         self.report().await;
+        // An actor whose mailbox is full, or closed, looks by itself.
+        let _ = actor.try_send(ToEngine::Parted);
     }
 
     async fn serve(&mut self, shared: &Shared) -> End {
@@ -169,7 +173,7 @@
             }
             ToEngine::Probe(_) => self.link.probe(now),
             ToEngine::Drain => self.link.drain(now, &mut self.events),
-            ToEngine::CloseIdle | ToEngine::Resume | ToEngine::Gone => {}
+            ToEngine::CloseIdle | ToEngine::Gone | ToEngine::Parted => {}
         }
     }
 
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -1,15 +1,20 @@
-//! The actor of one engine and its pool of connections, each with a task of its own.
+//! The actor of one engine and its pool of connections, each with a task of its own. It lives only while something is
+//! open or owed there: see [`Row`].
 mod connection;
+mod row;
+
+pub use row::{Row, Start};
 
 use super::core::Input;
-use super::{Shared, until};
+use super::mailbox::{Sender as Post, bounded};
+use super::{Held, Shared, until};
 use crate::clock::{self, Micros, SEC};
 use crate::engine::Wire;
 use crate::engine::link::Link;
 use crate::interface::{AttemptNo, EngineId, LoadReport, OutcomeKind, RequestId};
 use crate::manager::ends::{End, Reach};
 use crate::manager::{Ended, Job};
-use async_channel::{Receiver, Sender, bounded};
+use async_channel::{Receiver, Sender};
 use connection::Connection;
 use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
@@ -41,10 +46,10 @@
     CloseIdle,
     /// The engine drains or is gone: nothing new.
     Drain,
-    /// The engine takes work again.
-    Resume,
     /// The engine is gone: nothing new, and soon nothing at all.
     Gone,
+    /// One of the engine's connections has ended.
+    Parted,
 }
 
 /// An engine as its actor knows it.
@@ -63,7 +68,7 @@
 
 /// The far end of a connection's task, as the engine's actor sees it.
 struct Handle {
-    orders: Sender<ToEngine>,
+    orders: Post<ToEngine>,
     free: Rc<Cell<usize>>,
     attempts: Rc<RefCell<BTreeSet<RequestId>>>,
     stale: Rc<RefCell<BTreeSet<RequestId>>>,
@@ -93,24 +98,37 @@
 pub fn spawn<W: Wire + 'static>(
     shared: &Rc<Shared>,
     core: Sender<Input>,
+    row: &Rc<Row>,
     peer: Peer,
     wire: impl Fn() -> W + 'static,
-) -> Sender<ToEngine> {
+) -> Post<ToEngine> {
     let (orders, mailbox) = bounded(MAILBOX);
-    shared.spawn(actor(shared.clone(), core, Rc::new(peer), wire, mailbox));
+    let (row, all, words) = (row.clone(), shared.clone(), orders.clone());
+    shared.spawn(async move {
+        let _active = Held::new(&all.engine_actors);
+        actor(all.clone(), core, &row, Rc::new(peer), wire, (words, mailbox)).await;
+        row.release();
+    });
     orders
 }
 
 async fn actor<W: Wire + 'static>(
     shared: Rc<Shared>,
     core: Sender<Input>,
+    row: &Row,
     peer: Rc<Peer>,
     wire: impl Fn() -> W,
-    mailbox: Receiver<ToEngine>,
+    (words, mailbox): (Post<ToEngine>, Receiver<ToEngine>),
 ) {
     let mut conns: Vec<Handle> = Vec::new();
-    let (mut draining, mut gone_at) = (false, None);
+    let mut gone_at = None;
     loop {
+        conns.retain(|c| !c.orders.is_closed());
+        // Nothing is open here and nothing owed: the engine is a row again. Nobody has a turn between this look and the
+        // close, so that no order is lost: the next one finds no actor and makes one.
+        if conns.is_empty() && mailbox.is_empty() {
+            break;
+        }
         // Guards memory and descriptors on long days, where engines are replaced by new ones without end; and what
         // waits for an engine that vanished without a word.
         let order = or(async { mailbox.recv().await.ok() }, async {
@@ -120,7 +138,7 @@
         let Some(order) = order.await else { break };
         conns.retain(|c| !c.orders.is_closed());
         match order {
-            ToEngine::Start(job) if draining => refuse(&core, &job, End::Drained).await,
+            ToEngine::Start(job) if row.drains() => refuse(&core, &job, End::Drained).await,
             // Guards against a statement that would run on the tables of another database.
             ToEngine::Start(job) if !peer.databases && names_database(&job) => {
                 refuse(&core, &job, End::Overflow).await;
@@ -131,7 +149,7 @@
                 let lost = match conns.iter().filter(room).min_by_key(|c| c.rank(&job)) {
                     Some(c) => hand_over(c, job),
                     None => {
-                        let c = connect(&shared, &core, &peer, wire());
+                        let c = connect(&shared, &core, &peer, &words, wire());
                         let lost = hand_over(&c, job);
                         conns.push(c);
                         lost
@@ -157,7 +175,7 @@
                 let c = match conns.iter().find(|c| c.free.get() > 0) {
                     Some(c) => c,
                     None => {
-                        conns.push(connect(&shared, &core, &peer, wire()));
+                        conns.push(connect(&shared, &core, &peer, &words, wire()));
                         &conns[conns.len() - 1]
                     }
                 };
@@ -172,12 +190,11 @@
                 if matches!(order, ToEngine::Gone) {
                     gone_at = gone_at.or(Some(clock::now() + GONE_GRACE));
                 }
-                draining = true;
                 for c in conns.iter().filter(|c| c.orders.try_send(ToEngine::Drain).is_err()) {
                     c.orders.close();
                 }
             }
-            ToEngine::Resume => draining = false,
+            ToEngine::Parted => {}
         }
     }
     // Its connections end with their handles. What is still in the mailbox never went out.
@@ -214,7 +231,13 @@
     }
 }
 
-fn connect<W: Wire + 'static>(shared: &Rc<Shared>, core: &Sender<Input>, peer: &Rc<Peer>, wire: W) -> Handle {
+fn connect<W: Wire + 'static>(
+    shared: &Rc<Shared>,
+    core: &Sender<Input>,
+    peer: &Rc<Peer>,
+    words: &Post<ToEngine>,
+    wire: W,
+) -> Handle {
     let (orders, mailbox) = bounded(wire.streams() * 2 + SPARE);
     let (free, attempts, stale) = (Rc::new(Cell::new(wire.streams())), Rc::default(), Rc::default());
     let handle = Handle {
@@ -227,17 +250,24 @@
     };
     let proven = Rc::clone(&handle.proven);
     let (shared, core, peer) = (shared.clone(), core.clone(), peer.clone());
-    let executor = shared.executor.clone();
+    let (executor, words) = (shared.executor.clone(), words.clone());
     let task = async move {
         let link = Link::new(clock::turn(), wire);
         let conn =
             Connection { link, mailbox, core, peer, free, attempts, stale, proven, events: Vec::new() };
-        conn.run(&shared).await;
+        conn.run(&shared, &words).await;
     };
     executor.spawn(task).detach();
     handle
 }
 
+#[cfg(test)]
+use crate::engine::platform::Platform;
+
 #[cfg(test)]
 #[path = "../../../tests/inside/engine.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../../../tests/inside/rows.rs"]
+mod rows;
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,8 +1,8 @@
-//! The actor of the list of engines: applies what the coordinator tells, keeps one actor for each engine, and
-//! passes the news on to the module.
+//! The actor of the list of engines: applies what the coordinator tells, keeps a row for each engine, and passes the
+//! news on to the module.
 use super::Shared;
 use super::core::Input;
-use super::engine::{Peer, ToEngine, spawn};
+use super::engine::{Row, Start, spawn};
 use crate::clock::{Micros, SEC, micros};
 use crate::config::Names;
 use crate::engine::clickhouse::{ClickHouse, Login};
@@ -38,8 +38,8 @@
     pub engines: Vec<Listed>,
 }
 
-/// Starts the actor of one engine.
-pub type MakeEngine = Box<dyn Fn(&Listed) -> Sender<ToEngine>>;
+/// Makes the row of one engine.
+pub type MakeEngine = Box<dyn Fn(&Listed) -> Rc<Row>>;
 
 /// The engines that speak the ClickHouse interface, and who the manager is to them.
 #[derive(Clone, Default)]
@@ -57,23 +57,27 @@
 
 /// How engines are made: by the wire they speak.
 pub fn engines(shared: Rc<Shared>, core: Sender<Input>, names: Rc<Names>, http: Http) -> MakeEngine {
-    Box::new(move |listed| {
-        let (id, addr) = (listed.entry.id, listed.addr);
-        let (connect_timeout, keepalive) = (micros(names.connect_timeout), micros(names.keepalive));
-        if http.engines.contains(&id) {
-            let (login, keepalive) = (http.login.clone(), keepalive.min(HTTP_KEEPALIVE));
-            let peer = Peer { id, addr, connect_timeout, keepalive, databases: true };
-            return spawn(&shared, core.clone(), peer, move || ClickHouse::new(login.clone()));
-        }
+    let (all, module, known, login) = (shared.clone(), core.clone(), names.clone(), http.login.clone());
+    let clickhouse: Start = Rc::new(move |row| {
+        let (connect_timeout, keepalive) = (micros(known.connect_timeout), micros(known.keepalive));
+        let (login, peer) = (login.clone(), row.peer(connect_timeout, keepalive.min(HTTP_KEEPALIVE), true));
+        spawn(&all, module.clone(), row, peer, move || ClickHouse::new(login.clone()))
+    });
+    let platform: Start = Rc::new(move |row| {
+        let peer = row.peer(micros(names.connect_timeout), micros(names.keepalive), false);
         let names = names.clone();
-        let peer = Peer { id, addr, connect_timeout, keepalive, databases: false };
-        spawn(&shared, core.clone(), peer, move || Platform::new(names.clone()))
+        spawn(&shared, core.clone(), row, peer, move || Platform::new(names.clone()))
+    });
+    Box::new(move |listed| {
+        let id = listed.entry.id;
+        let start = if http.engines.contains(&id) { &clickhouse } else { &platform };
+        Row::new(id, listed.addr, listed.entry.readiness, start.clone())
     })
 }
 
 struct Known {
     listed: Listed,
-    actor: Sender<ToEngine>,
+    row: Rc<Row>,
 }
 
 /// Runs the list. Its first update is what the module knew before it started.
@@ -92,23 +96,22 @@
         if update.whole {
             // A whole list of the coordinator does not name the engines of the file.
             update.engines.extend(&http.fixed);
-            let named = |id| update.engines.iter().any(|l| l.entry.id == id);
-            let left = known.values_mut().filter(|k| !named(k.listed.entry.id));
+            let named: BTreeSet<EngineId> = update.engines.iter().map(|l| l.entry.id).collect();
+            let left = known.values_mut().filter(|k| !named.contains(&k.listed.entry.id));
             left.for_each(|k| mark(k, Readiness::Gone));
         }
         for listed in &update.engines {
             let id = listed.entry.id;
             // An engine is its id, and under another address it is another process. Guards against attempts that
-            // nobody could give up any more: with its mailbox the old actor ends, its connections, and what is on
-            // them.
-            let same = known.get(&id).is_some_and(|k| k.listed.addr == listed.addr && !k.actor.is_closed());
+            // nobody could give up any more: with its row the old actor ends, its connections, and what is on them.
+            let same = known.get(&id).is_some_and(|k| k.listed.addr == listed.addr);
             if !same && listed.entry.readiness != Readiness::Gone {
                 if let Some(old) = known.get_mut(&id) {
-                    old.actor.close();
+                    old.row.close();
                 }
-                let actor = make(listed);
-                made.push((id, actor.clone()));
-                known.insert(id, Known { listed: *listed, actor });
+                let row = make(listed);
+                made.push((id, row.clone()));
+                known.insert(id, Known { listed: *listed, row });
             }
             if let Some(k) = known.get_mut(&id) {
                 mark(k, listed.entry.readiness);
@@ -147,18 +150,10 @@
     update.engines.extend(old.map(gone));
 }
 
-/// Tells an engine's actor first, and the module after it: nothing that waits to go out outlives the news.
+/// Tells an engine's row first, and the module after it: nothing that waits to go out outlives the news.
 fn mark(k: &mut Known, readiness: Readiness) {
-    let was = std::mem::replace(&mut k.listed.entry.readiness, readiness);
-    let order = match readiness {
-        Readiness::Ready if was != Readiness::Ready => ToEngine::Resume,
-        Readiness::Draining if was == Readiness::Ready => ToEngine::Drain,
-        Readiness::Gone => ToEngine::Gone,
-        _ => return,
-    };
-    if k.actor.try_send(order).is_err() {
-        k.actor.close();
-    }
+    k.listed.entry.readiness = readiness;
+    k.row.mark(readiness);
 }
 
 /// An entry, whatever form it came in. `started_ms` is a Unix time; the clock of the module counts from there.
@@ -254,47 +249,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::cell::RefCell;
-
-    /// Guards memory, descriptors and the drain rule on days when engines are replaced without end, at new
-    /// addresses or at the address of one that nobody has told to be gone yet.
-    #[test]
-    fn a_replaced_engine_leaves_nothing_behind() {
-        let shared = Shared::new(64, 32);
-        let (core, news) = async_channel::unbounded();
-        let (updates, mailbox) = async_channel::bounded(MAILBOX);
-        let actors = Rc::new(RefCell::new(Vec::new()));
-        let made = actors.clone();
-        let make: MakeEngine = Box::new(move |listed| {
-            let (orders, mailbox) = async_channel::unbounded();
-            made.borrow_mut().push((listed.entry.id.0, mailbox));
-            orders
-        });
-        shared.spawn(run(shared.clone(), core, mailbox, make, Http::default()));
-        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        let one = |id, port, state| listed(id, at(port), state, (0, 0, 0), 1.0, 0);
-        let executor = shared.executor.clone();
-        let told = async_io::block_on(executor.run(async {
-            let mut told = Vec::new();
-            for id in 1..=40u32 {
-                // Odd ones come to the address of the one before, with no word of its end.
-                let mut engines = vec![one(id, 1_000 + (id / 2) as u16, Readiness::Ready)];
-                if id % 2 == 0 {
-                    engines.push(one(id - 1, 1_000 + (id / 2 - 1) as u16, Readiness::Gone));
-                }
-                let _ = updates.send(Update { index: u64::from(id), whole: id == 1, engines }).await;
-                let Ok(Input::List(_, entries, ..)) = news.recv().await else { panic!("no news") };
-                told.extend(entries.iter().filter(|e| e.readiness == Readiness::Gone).map(|e| e.id.0));
-            }
-            told
-        }));
-        let actors = actors.borrow();
-        let left = actors.iter().filter(|(_, orders)| !orders.is_closed()).map(|(id, _)| *id);
-        assert_eq!(left.collect::<Vec<u64>>(), [40]);
-        let gone = |orders: &Receiver<ToEngine>| matches!(orders.try_recv(), Ok(ToEngine::Gone));
-        let went = actors.iter().filter(|(_, orders)| gone(orders)).count();
-        assert_eq!((went, told), (39, (1..=39).collect::<Vec<u64>>()));
-    }
-}
+#[path = "../../tests/inside/list.rs"]
+mod tests;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod handover;
 pub mod list;
+pub mod mailbox;
 pub mod membership;
 pub mod reload;
 
@@ -52,6 +53,8 @@
     pub engine_sockets: Rc<Cell<usize>>,
     /// How many there may be.
     pub most_engine_sockets: Cell<usize>,
+    /// Engines that have an actor now: those with something open or owed.
+    pub engine_actors: Rc<Cell<usize>>,
     /// Connections of clients.
     pub client_sockets: Rc<Cell<usize>>,
     /// How many there may be.
@@ -107,6 +110,7 @@
             dispatches: Cell::new(0),
             engine_sockets: Rc::default(),
             most_engine_sockets: Cell::new(0),
+            engine_actors: Rc::default(),
             client_sockets: Rc::default(),
             most_client_sockets: Cell::new(0),
             closing_sockets: Rc::default(),
--- a/tests/inside/client.rs
+++ b/tests/inside/client.rs
@@ -31,6 +31,20 @@
     }
 }
 
+/// A client that is there and says nothing, without an actor, and both ends of its connection.
+pub(in crate::net) fn resting(shared: &Shared, conn: u64) -> (Rc<Async<TcpStream>>, TcpStream) {
+    let (listener, addr) = listener();
+    let client = TcpStream::connect(addr).expect("a connection");
+    let (here, _) = listener.get_ref().accept().expect("a connection");
+    let here = Rc::new(Async::new(here).expect("a socket"));
+    let (useful, idle_since) = (Cell::new(true), Cell::new(None));
+    let (leaving, passes) = (Cell::new(false), Cell::new(false));
+    let (shed, stream) = (bounded(1).0, Rc::downgrade(&here));
+    let standing = Standing { useful, idle_since, leaving, passes, shed, stream };
+    shared.clients.borrow_mut().insert(conn, Rc::new(standing));
+    (here, client)
+}
+
 fn line(id: u64) -> Vec<u8> {
     rpc_line(id, "lookup", &format!("{id:016x}"), "acme", 9_000, "SELECT 1")
 }
--- a/tests/inside/engine.rs
+++ b/tests/inside/engine.rs
@@ -1,10 +1,10 @@
 //! Which connection of an engine carries an attempt, and for whom none begins.
-use super::{Handle, Peer, ToEngine, bounded, spawn};
+use super::{Handle, Row, Start, ToEngine, bounded, spawn};
 use crate::clock::SEC;
 use crate::config::Names;
 use crate::engine::platform::Platform;
 use crate::front::jsonrpc::JsonRpc;
-use crate::interface::{AttemptNo, EngineId, RequestId};
+use crate::interface::{AttemptNo, EngineId, Readiness, RequestId};
 use crate::kit::{eventually, listener};
 use crate::manager::Job;
 use crate::net::Shared;
@@ -66,12 +66,15 @@
 /// attempt's first byte; and what the core is told.
 fn dispatch(gone_before: bool) -> (String, Vec<String>) {
     let shared = Shared::new(64, 64);
-    let (core, inputs) = bounded(100);
+    let (core, inputs) = async_channel::bounded(100);
     let (line, addr) = listener();
-    let connect_timeout = 5 * SEC;
-    let peer = Peer { id: EngineId(1), addr, connect_timeout, keepalive: 15 * SEC, databases: false };
     let names = Rc::new(Names { streams: 4, ..Names::default() });
-    let orders = spawn(&shared, core.clone(), peer, move || Platform::new(names.clone()));
+    let (all, module) = (shared.clone(), core.clone());
+    let start: Start = Rc::new(move |row| {
+        let (peer, names) = (row.peer(5 * SEC, 15 * SEC, false), names.clone());
+        spawn(&all, module.clone(), row, peer, move || Platform::new(names.clone()))
+    });
+    let row = Row::new(EngineId(1), addr, Readiness::Ready, start);
     let run = |holds: &mut dyn FnMut() -> bool| {
         assert!(async_io::block_on(shared.executor.run(eventually(holds))), "it never came to that");
     };
@@ -87,7 +90,7 @@
     if gone_before {
         leaves(&mut client);
     }
-    orders.try_send(ToEngine::Start(job)).expect("room");
+    assert_eq!(row.tell(ToEngine::Start(job)), Ok(()));
     let mut text = Vec::new();
     let (mut told, mut kept) = (Vec::new(), Vec::new());
     let mut stream = None;
