Look at the lifecycle in the core's own turns, which come every 20 ms anyway

Change: `core::Watch` does both in the core's turn where 20 ms have passed; `Input::Part` and two actors go. Without a second address nothing changes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -173,7 +173,6 @@
     if let Some(console) = console {
         shared.console.set(true);
         shared.spawn(net::console::listen(shared.clone(), console));
-        shared.spawn(client::let_go(shared.clone()));
     }
     let starts = bounded::<()>(1);
     if let Some(taken) = taken {
@@ -212,9 +211,6 @@
             shared.spawn(handover::listen(shared.clone(), older));
         }
     }
-    if config.console.is_some() {
-        shared.spawn(handover::split(shared.clone(), core.clone()));
-    }
     let starts = starts.1;
     let flags = shared.clone();
     let ready: Rc<dyn Fn() -> bool> = Rc::new(move || flags.life.borrow().ready());
--- a/src/net/client/standing.rs
+++ b/src/net/client/standing.rs
@@ -3,12 +3,11 @@
 use crate::clock::{self, Micros};
 use crate::net::Shared;
 use async_channel::Sender;
-use async_io::{Async, Timer};
+use async_io::Async;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
 
 /// What the listeners know of a connection: whether it may be shed when there are too many.
 pub struct Standing {
@@ -53,28 +52,23 @@
     all.min_by_key(|s| (s.useful.get(), s.idle_since.get())).is_some_and(|s| s.shed.close())
 }
 
-/// Between looks at which kept connections are to be let go.
-const LOOK: Duration = Duration::from_millis(20);
-/// Lets kept connections go when the lifecycle says so: each closes itself at its next quiet moment.
-pub async fn let_go(shared: Rc<Shared>) {
-    let mut letting_go = false;
-    loop {
-        Timer::after(LOOK).await;
-        let (now, life) = (clock::turn(), shared.life.borrow());
-        if life.handed_over() {
-            shared.accepting.0.close();
-        }
-        // While none is to be let go, and none was at the last look, nobody is told anything: idle clients cost no turn.
-        let before = std::mem::replace(&mut letting_go, life.lets_go());
-        if !letting_go && !before {
-            continue;
-        }
-        for (conn, standing) in shared.clients.borrow().iter() {
-            let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
-            let passes = life.handed_over();
-            if standing.leaving.replace(leaving) != leaving || standing.passes.replace(passes) != passes {
-                let _ = standing.shed.try_send(());
-            }
+/// Lets kept connections go when the lifecycle says so: each closes itself at its next quiet moment. `letting_go` is
+/// whether any was to go at the last look, and is again now: while none is and none was, nobody is told anything, and idle
+/// clients cost no turn.
+pub fn let_go(shared: &Shared, now: Micros, letting_go: &mut bool) {
+    let life = shared.life.borrow();
+    if life.handed_over() {
+        shared.accepting.0.close();
+    }
+    let before = std::mem::replace(letting_go, life.lets_go());
+    if !*letting_go && !before {
+        return;
+    }
+    for (conn, standing) in shared.clients.borrow().iter() {
+        let leaving = life.lets_go_at(*conn).is_some_and(|at| at <= now);
+        let passes = life.handed_over();
+        if standing.leaving.replace(leaving) != leaving || standing.passes.replace(passes) != passes {
+            let _ = standing.shed.try_send(());
         }
     }
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -32,6 +32,34 @@
 /// Figures for operators are put down this often at most.
 const FIGURES_EVERY: Micros = 100 * MS;
 
+/// Where there may be a second process, the lifecycle is looked at this often: as often as the module has a turn by itself.
+const LOOK: Micros = 20 * MS;
+
+/// What follows from the lifecycle by itself: clients that are let go, and this process's part of the manager.
+struct Watch {
+    looked_at: Micros,
+    letting_go: bool,
+    part: f64,
+}
+
+impl Watch {
+    /// When it is to look again.
+    fn due(&self, shared: &Shared) -> Option<Micros> {
+        shared.console.get().then_some(self.looked_at + LOOK)
+    }
+
+    /// Looks if it is time to; gives a part that is new.
+    fn look(&mut self, shared: &Shared, now: Micros) -> Option<f64> {
+        self.due(shared).filter(|due| *due <= now)?;
+        self.looked_at = now;
+        client::let_go(shared, now, &mut self.letting_go);
+        let (part, was) = (shared.life.borrow().part(), self.part);
+        let new = (part - was).abs() > 0.01 || (part != was && (part == 1.0 || part == 0.0));
+        self.part = if new { part } else { was };
+        new.then(|| shared.split()).map(|()| part)
+    }
+}
+
 /// What the module's actor is told.
 pub enum Input {
     /// A client connected; its answers go there.
@@ -72,8 +100,6 @@
     Reloaded(bool),
     /// Print the counters.
     Report,
-    /// That part of the manager is this process's.
-    Part(f64),
     /// So many managers share the warm engines.
     Sharers(u32),
     /// Ask an engine for its load: for the module, or, until then, for other managers.
@@ -113,6 +139,7 @@
     let mut core = Core { manager, clients, engines, orders, ended: false, acting, audit, duties };
     core.manager.audit(core.audit.is_some());
     let (mut figures_at, mut parts_until) = (0, None);
+    let mut watch = Watch { looked_at: 0, letting_go: false, part: 1.0 };
     loop {
         let stop_at = shared.life.borrow().accepts_until();
         let stop_due = stop_at.map(|at| at.max(clock::now() + 5 * MS));
@@ -120,6 +147,7 @@
         let last_at = life().gives_up_at(core.manager.longest_deadline()).filter(|_| !core.ended);
         let kept_at = core.audit.as_ref().and_then(Keeper::due);
         let due = core.manager.next_due().into_iter().chain(stop_due).chain(last_at).chain(kept_at);
+        let due = due.chain(watch.due(&shared));
         let due = due.chain(parts_until.map(|_| clock::now() + PARTING_LOOK)).min();
         let message = or(async { mailbox.recv().await.ok() }, async {
             until(due).await;
@@ -143,6 +171,9 @@
             figures_at = now;
             *shared.figures.borrow_mut() = core.manager.figures();
         }
+        if let Some(part) = watch.look(&shared, now) {
+            core.manager.split(part);
+        }
         core.dispatch(now);
         shared.acting.set(core.acting);
         if let Some(audit) = &mut core.audit {
@@ -227,7 +258,6 @@
                 let _ = done.try_send(manager.classes());
             }
             Input::Tenants(tenants) => manager.tenants(&tenants),
-            Input::Part(part) => manager.split(part),
             Input::Probe(engine, until) => self.probe(now, EngineId(engine), until),
             Input::Sounded(engine, sounding) => {
                 let (kind, load) = sounding.outcome();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,7 +1,6 @@
 //! Two processes as one manager while a new version takes over: the socket in `$TMPDIR` over which the older one
 //! passes its listening descriptors, and the actors at both ends. What it means is the lifecycle's to say.
 use super::client::Adopted;
-use super::core::Input;
 use super::{Held, Shared, until};
 use crate::clock::{self, MS, Micros};
 use crate::lifecycle::Next;
@@ -436,20 +435,6 @@
     peer.write_all(&bytes[sent..]).await
 }
 
-/// Splits what belongs to the whole manager by the part that is this process's.
-pub async fn split(shared: Rc<Shared>, core: Sender<Input>) {
-    let mut was = 1.0;
-    loop {
-        let part = shared.life.borrow().part();
-        if (part - was).abs() > 0.01 || (part != was && (part == 1.0 || part == 0.0)) {
-            was = part;
-            shared.split();
-            let _ = core.send(Input::Part(part)).await;
-        }
-        Timer::after(LOOK).await;
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
