--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,69 @@
+//! The system has no descriptor left at the first use of an engine: alone in its process, as the limit is the process's.
+use async_channel::bounded;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+use std::fs::File;
+use std::net::TcpListener;
+use std::rc::Rc;
+use yokelift::config::Names;
+use yokelift::interface::{EngineId, Readiness, RequestId};
+use yokelift::kit::eventually;
+use yokelift::manager::Job;
+use yokelift::manager::ends::{End, Reach};
+use yokelift::net::Shared;
+use yokelift::net::core::Input;
+use yokelift::net::engine::ToEngine;
+use yokelift::net::list::{Http, engines, listed};
+
+/// Guards an engine's good name and the request: the attempt ends as never sent, for want of room here, the actor goes, and
+/// the next use finds a descriptor again.
+#[test]
+fn no_descriptor_of_the_system_is_left_at_the_first_use() {
+    let line = TcpListener::bind("127.0.0.1:0").expect("a port");
+    line.set_nonblocking(true).expect("a socket");
+    let shared = Shared::new(4_096, 64);
+    let (core, inputs) = bounded(100);
+    let names = Names { streams: 4, connect_timeout: 5_000_000_000, ..Names::default() };
+    let make = engines(shared.clone(), core, Rc::new(names), Http::default());
+    let row = make(&listed(1, line.local_addr().expect("its address"), Readiness::Ready, (0, 0, 0), 1.0, 0));
+    assert_eq!(row.id, EngineId(1));
+    let executor = shared.executor.clone();
+    let run = |holds: &mut dyn FnMut() -> bool| async_io::block_on(executor.run(eventually(holds)));
+    let mut looks = 0;
+    let again = run(&mut || {
+        looks += 1;
+        looks > 1
+    });
+    assert!(again, "after a pause the reactor has its own descriptors");
+    let start = |id| ToEngine::Start(Job { id: RequestId(id), ..Job::default() });
+    // Every place up to the limit is taken.
+    let before = getrlimit(Resource::Nofile);
+    let few = Rlimit { current: Some(64), ..before.clone() };
+    setrlimit(Resource::Nofile, few).expect("a lower limit");
+    let taken: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
+    assert_eq!(row.tell(start(1)), Ok(()));
+    let mut ended = Vec::new();
+    let look = |ended: &mut Vec<(RequestId, End, Reach)>| {
+        while let Ok(input) = inputs.try_recv() {
+            if let Input::Ended(e) = input {
+                ended.push((e.id, e.end, e.reach));
+            }
+        }
+    };
+    let one = run(&mut || {
+        look(&mut ended);
+        ended.len() == 1 && shared.engine_actors.get() == 0
+    });
+    assert!(one && !row.is_active() && !row.is_closed(), "{ended:?}");
+    assert_eq!(ended, [(RequestId(1), End::Overflow, Reach::Unsent)]);
+    drop(taken);
+    setrlimit(Resource::Nofile, before).expect("the limit of before");
+    assert_eq!(row.tell(start(2)), Ok(()));
+    // Its client is not there, so that it is taken back unsent, on a connection that was made.
+    let mut came = Vec::new();
+    let two = run(&mut || {
+        look(&mut ended);
+        came.extend(line.accept().ok());
+        ended.len() == 2 && !came.is_empty()
+    });
+    assert!(two && ended[1] == (RequestId(2), End::Withdrawn, Reach::Unsent), "{ended:?}");
+}
