--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod membership;
 pub mod net;
 pub mod policy;
+mod ranks;
 pub mod settings;
 pub mod spool;
 mod state;
@@ -41,3 +42,7 @@
 #[cfg(test)]
 #[path = "../tests/inside/mutation.rs"]
 mod mutation;
+
+#[cfg(test)]
+#[path = "../tests/inside/sweep.rs"]
+mod sweep;
--- a/src/policy/anew.rs
+++ b/src/policy/anew.rs
@@ -11,12 +11,6 @@
 const BAD_PLAN: f64 = 1.5; // A plan is bad if its progress points to this many times the tail.
 
 impl Gateway {
-    /// Whether withdrawing its attempt could be followed by another.
-    fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
-        let again = self.s.limits.may_cancel && !r.done && self.effect_allows(now, r, None);
-        again && r.sends < r.most_sends && self.budget_allows(now)
-    }
-
     /// Withdraws its attempt to try anew, if that can still be in time and the stock of cancels allows.
     fn try_anew(&mut self, now: Nanos, id: RequestId, attempt: AttemptNo, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
@@ -158,8 +152,8 @@
             let Some(e) = self.engines.get_mut(&engine) else { continue };
             e.silent_at = if e.life_at <= sent { now } else { e.silent_at };
             match e.health {
-                Health::HalfOpen(Some(trial)) if trial == id && silent => e.eject(now),
-                Health::Closed if may_eject && e.life_at <= sent => e.eject(now),
+                Health::HalfOpen(Some(trial)) if trial == id && silent => e.eject(now, &mut self.fleet),
+                Health::Closed if may_eject && e.life_at <= sent => e.eject(now, &mut self.fleet),
                 Health::Closed | Health::HalfOpen(_) | Health::Open(_) => {}
             }
             if let Some(o) = self.requests.get_mut(&id).and_then(|r| r.out(attempt)) {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -61,7 +61,10 @@
         self.fleet.mix.add(running, alone);
         e.since += threads;
         e.sent_at = now;
-        e.cold_sent.extend((e.warmth(now, &self.s.rules) < 1.0).then_some((now, weight)));
+        if e.warmth(now, &self.s.rules) < 1.0 {
+            e.count_cold(now, &self.s.rules, weight);
+        }
+        self.fleet.note_send(engine);
         if is_load {
             *e.held_groups.entry(group).or_default() += 1;
         }
--- a/src/policy/bounds.rs
+++ b/src/policy/bounds.rs
@@ -89,6 +89,7 @@
         }
         let best = self.engines.values().filter(|e| e.ready()).map(|e| e.stretch).min_by(f64::total_cmp);
         self.fleet.best_stretch = best.unwrap_or(1.0).min(self.fleet.best_stretch * 1.01).max(0.5);
+        self.fleet.changed();
     }
 
     /// Latency far above the best. A gateway just started does not know and takes it for pressure.
--- a/src/policy/cold.rs
+++ b/src/policy/cold.rs
@@ -3,17 +3,6 @@
 
 const COLD_MARGIN: f64 = 0.55; // Margin on the cold budget: clocks, slow machines, work not known ahead.
 
-impl Engine {
-    /// Share of usual capacity that a started engine surely has: the start share, then a late-rising curve.
-    pub(super) fn warmth(&self, now: Nanos, rules: &Rules) -> f64 {
-        if self.entry.ready_at == 0 || self.entry.ready_at.saturating_add(rules.warm_within) <= now {
-            return 1.0;
-        }
-        let age = secs(now.saturating_sub(self.entry.ready_at)) / secs(rules.warm_within.max(1));
-        rules.cold_from + (1.0 - rules.cold_from) * age * age
-    }
-}
-
 impl Gateway {
     /// Rule 4: work sent to a cold engine by all gateways in the stated window stays in the budget. A part
     /// that holds the query is kept by counting; below that, whole queries go out in turns. Bound of the sum:
--- a/src/policy/fleet.rs
+++ b/src/policy/fleet.rs
@@ -24,8 +24,8 @@
         }
         let span = self.s.rules.extra.map_or(0, |b| b.span);
         let from = now.saturating_sub(span + SWEEP_EVERY);
-        self.taken.retain(|t| *t >= from);
-        self.extras.retain(|t| *t >= from);
+        self.taken.drain(..self.taken.partition_point(|t| *t < from));
+        self.extras.drain(..self.extras.partition_point(|t| *t < from));
         self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > now);
         let (mean, part) =
             (self.fleet.mean, (secs(now.saturating_sub(self.swept_at)) / secs(PERIOD)).min(1.0));
@@ -44,32 +44,38 @@
         self.pump(now, acts);
     }
 
-    /// The one walk over the whole fleet: medians, capacity, turns, and ejections that are over.
-    fn look(&mut self, now: Nanos) {
-        for e in self.engines.values_mut() {
-            e.cold_sent.retain(|(t, _)| *t >= now.saturating_sub(self.s.rules.fall_window));
-            if matches!(e.health, Health::Open(until) if until <= now) {
-                e.health = Health::HalfOpen(None);
-            }
+    /// Medians, capacity, turns, and ejections that are over: by a walk over the whole fleet where something
+    /// it reads changed or is due, else by the few engines that moved.
+    pub(crate) fn look(&mut self, now: Nanos) {
+        if now >= self.fleet.walk_due {
+            self.engines.values_mut().for_each(|e| e.settle(now, &self.s.rules));
+            let tally = self.tally(now);
+            self.fleet.take_tally(tally, self.engines.len());
         }
-        let ready: Vec<&Engine> = self.fleet.ready.iter().filter_map(|id| self.engines.get(id)).collect();
-        let usable = || ready.iter().filter(|e| e.health == Health::Closed);
-        let has_turn = |e: &&&Engine| {
-            let cold = e.warmth(now, &self.s.rules) < 1.0;
-            let slot = if cold { self.s.rules.fall_window / COLD_SLOTS } else { TURN };
-            let holds = |across| self.has_slot(now, e, slot, e.bound * self.part, across);
-            holds(0.0) || (cold && holds(0.5))
-        };
-        let mut stretches: Vec<f64> = ready.iter().map(|e| e.stretch).collect();
-        stretches.sort_by(f64::total_cmp);
-        let median = stretches.get(stretches.len() / 2).copied().unwrap_or(1.0);
-        let cores = usable().map(|e| e.cores).sum();
         // Where none is asked, own queries go to warm engines, and to cold ones only in turns beside that.
-        let counts = |e: &&&Engine| self.asks() || e.warmth(now, &self.s.rules) >= 1.0;
-        let bound = usable().filter(counts).map(|e| e.bound * e.warmth(now, &self.s.rules)).sum();
-        let turns = ready.iter().filter(has_turn).map(|e| e.entry.id).collect();
-        let f = &mut self.fleet;
-        (f.median_stretch, f.turns) = (median, turns);
-        (f.cores, f.bound) = (cores, bound);
+        self.follow(now, self.asks());
+    }
+
+    /// The walk over the whole fleet. What it reads beside the time calls `Fleet::changed` when it changes.
+    pub(crate) fn tally(&self, now: Nanos) -> Tally {
+        let (rules, cold_slot) = (&self.s.rules, self.s.rules.fall_window / COLD_SLOTS);
+        let next = |slot: Nanos| (now / slot.max(1) + 1) * slot.max(1);
+        let mut t = Tally { due: next(TURN), ..Tally::default() };
+        for e in self.engines.values() {
+            t.due = if let Health::Open(until) = e.health { t.due.min(until) } else { t.due };
+            if !e.ready() {
+                continue;
+            }
+            let (cold, closed) = (e.warmth(now, rules) < 1.0, e.health == Health::Closed);
+            let slot = if cold { cold_slot } else { TURN };
+            let holds = |across| self.has_slot(now, e, slot, e.bound * self.part, across);
+            t.turns.extend((holds(0.0) || (cold && holds(0.5))).then_some(e.entry.id));
+            t.due = if cold { t.due.min(next(slot)).min(e.warm_at(rules)) } else { t.due };
+            t.stretches.push(e.stretch);
+            t.cores += if closed { e.cores } else { 0.0 };
+            t.warm_bound += if closed && !cold { e.bound } else { 0.0 };
+            t.cold.extend((closed && cold).then_some(e.entry.id));
+        }
+        t
     }
 }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -10,7 +10,8 @@
 const TAIL_STEP: f64 = 0.2; // Weight of one answer in it: a fifth up, a hundredth down.
 
 impl Engine {
-    pub(super) fn eject(&mut self, now: Nanos) {
+    pub(super) fn eject(&mut self, now: Nanos, fleet: &mut Fleet) {
+        fleet.changed();
         self.health = Health::Open(now + (EJECT << self.ejections.min(3)));
         self.ejections += 1;
         self.fail_share = 0.0;
@@ -45,13 +46,14 @@
         let weight = if e.start < self.sharers { 0.5 } else { FAIL_WEIGHT };
         e.fail_share += weight * (f64::from(u8::from(failed)) - e.fail_share);
         if failed && (trial || (may_eject && e.fail_share > FAIL_SHARE)) {
-            e.eject(now);
+            e.eject(now, &mut self.fleet);
         } else if !failed {
             e.full_until = if o.kind == OutcomeKind::Full { now + PERIOD } else { e.full_until };
             e.life_at = now;
             if trial {
                 // Slow start: back with the least bound.
                 (e.health, e.bound) = (Health::Closed, e.start * FLOOR);
+                self.fleet.changed();
             }
         }
     }
@@ -80,10 +82,14 @@
         e.window.samples += 1.0;
         e.window.lateness += (took / aim(&self.s.classes[class], work)).min(CLIP);
         let stretch = took / (work / threads).max(1e-3);
+        let old = e.stretch;
         for usual in [&mut self.fleet.stretch, &mut e.stretch] {
             let clipped = stretch.min(CLIP * *usual);
             smooth(usual, clipped);
         }
+        if e.ready() {
+            self.fleet.stretches.replace(old, e.stretch);
+        }
         // Where answers tell no cost, work is guessed from the time taken, over how crowded the engine was at
         // the send: else time under overload passes for work. Not over slowness, as both would drift apart.
         let sample = o.work.map_or(took * threads / out.crowd.max(self.fleet.crowd).max(1.0), secs);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -74,6 +74,7 @@
             self.learned[class] = heir_of.map_or(first, |of| self.learned[usize::from(of.0)]);
         }
         self.s = s;
+        self.fleet.changed();
     }
 
     /// Takes in one event and appends what to do about it.
@@ -107,11 +108,6 @@
         }
     }
 
-    /// Long classes: more than one thread, or loads.
-    fn is_long(&self, r: &Request) -> bool {
-        self.threads(r) > 1.0 || self.class(r).is_load
-    }
-
     /// Whether this gateway's share of an engine is under that many threads.
     fn thin(&self, e: &Engine, threads: f64) -> bool {
         e.start * LONG_BORROW / self.sharers < threads
--- a/src/state/engine.rs
+++ b/src/state/engine.rs
@@ -68,9 +68,9 @@
     pub life_at: Nanos,
     pub silent_at: Nanos, // When an attempt there passed its time with no sign of life of the engine since.
     pub reset_at: Nanos,  // When a reset last counted against it.
-    pub cold_sent: VecDeque<(Nanos, f64)>,
+    pub cold_sent: VecDeque<(Nanos, f64)>, // When, and of what weight: oldest first.
     pub report: Option<(Nanos, f64)>, // When it last told its load, and that in threads.
-    pub since: f64,                   // Own threads sent there since.
+    pub since: f64,       // Own threads sent there since.
     pub sent_at: Nanos,
     pub held_groups: BTreeMap<u64, u32>,
     pub stood_still: BTreeMap<u64, Nanos>, // Data sets that queries were told to wait for, and until when.
@@ -94,6 +94,39 @@
     pub fn ready(&self) -> bool {
         self.entry.readiness == Readiness::Ready
     }
+
+    /// When a started engine is warm at the latest.
+    pub fn warm_at(&self, rules: &Rules) -> Nanos {
+        self.entry.ready_at.saturating_add(rules.warm_within)
+    }
+
+    /// Share of usual capacity that a started engine surely has: the start share, then a late-rising curve.
+    pub fn warmth(&self, now: Nanos, rules: &Rules) -> f64 {
+        if self.entry.ready_at == 0 || self.warm_at(rules) <= now {
+            return 1.0;
+        }
+        let age = secs(now.saturating_sub(self.entry.ready_at)) / secs(rules.warm_within.max(1));
+        rules.cold_from + (1.0 - rules.cold_from) * age * age
+    }
+
+    /// Enters work of that weight, sent to it while it is cold, and forgets what was sent before the window.
+    pub fn count_cold(&mut self, now: Nanos, rules: &Rules, weight: f64) {
+        self.cold_sent.push_back((now, weight));
+        self.forget_cold(now, rules);
+    }
+
+    /// What the time alone ends: an ejection, and the window of what was sent while it was cold.
+    pub fn settle(&mut self, now: Nanos, rules: &Rules) {
+        self.forget_cold(now, rules);
+        if matches!(self.health, Health::Open(until) if until <= now) {
+            self.health = Health::HalfOpen(None);
+        }
+    }
+
+    fn forget_cold(&mut self, now: Nanos, rules: &Rules) {
+        let from = now.saturating_sub(rules.fall_window);
+        self.cold_sent.drain(..self.cold_sent.partition_point(|(t, _)| *t < from));
+    }
 }
 
 /// How far an engine is from being a data set's own, 0 to 1: the same at all gateways and after a restart, so that engines
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,7 +1,8 @@
 //! What is kept of the whole fleet.
 use super::{Running, Window};
 use crate::interface::*;
-use std::collections::VecDeque;
+use crate::ranks::Ranks;
+use std::collections::{BTreeSet, VecDeque};
 
 /// What is kept of the whole fleet, so that no request walks over it.
 #[derive(Default)]
@@ -9,8 +10,15 @@
     pub ready: Vec<EngineId>,       // Engines that take work, from the list.
     pub recent: VecDeque<EngineId>, // Those with the newest reports.
     pub turns: Vec<EngineId>,       // Those where this gateway had a turn at the last look.
+    pub sent: BTreeSet<EngineId>,   // Those of them that it sent to since.
     pub cores: f64,                 // Of engines ready and not ejected, and their bounds.
     pub bound: f64,
+    pub warm_bound: f64,     // The part of it that does not move by itself...
+    pub cold: Vec<EngineId>, // ...and the cold engines whose part does.
+    pub stretches: Ranks,    // Of engines that are ready.
+    pub walk_due: Nanos,     // When a look has to walk over all engines again; 0 once something changed.
+    pub walks: u64,          // Such walks, and engines visited by all looks, those of the walks with them.
+    pub visits: u64,
     pub running: Running,
     pub mean: Running, // The same as a mean over about a period.
     pub mix: Running,  // Own queries weighted by the time they take: threads per query of what engines hold.
@@ -36,7 +44,40 @@
     }
 }
 
+/// What one walk over the whole fleet finds.
+#[derive(Default)]
+pub struct Tally {
+    pub turns: Vec<EngineId>, // Of engines that are ready, those where this gateway has a turn, by their ids.
+    pub stretches: Vec<f64>,
+    pub cores: f64, // Of those that are closed too, with the bounds of the warm and the ids of the cold.
+    pub warm_bound: f64,
+    pub cold: Vec<EngineId>,
+    pub due: Nanos, // The next instant at which time alone changes any of it but warmth.
+}
+
 impl Fleet {
+    /// Something changed that a walk reads: the next look is one.
+    pub fn changed(&mut self) {
+        self.walk_due = 0;
+    }
+
+    /// Takes over what a walk found that visited so many engines.
+    pub fn take_tally(&mut self, t: Tally, visited: usize) {
+        (self.turns, self.cores) = (t.turns, t.cores);
+        (self.warm_bound, self.cold) = (t.warm_bound, t.cold);
+        (self.stretches, self.walk_due) = (Ranks::new(t.stretches), t.due);
+        self.sent.clear();
+        self.walks += 1;
+        self.visits += visited as u64;
+    }
+
+    /// Notes a send: the turn there is used, as the next look sees.
+    pub fn note_send(&mut self, engine: EngineId) {
+        if self.turns.binary_search(&engine).is_ok() {
+            self.sent.insert(engine);
+        }
+    }
+
     /// An arc of the ring of ready engines, from some place in it: one of the evenly spaced arcs of all gateways.
     pub fn arc(
         &self,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -87,6 +87,7 @@
         let part = part.clamp(0.05, 1.0);
         self.sharers *= self.part / part;
         self.part = part;
+        self.fleet.changed();
     }
 
     /// So many gateways share the warm engines now, those that do not serve left out. Budgets of cold engines stay
@@ -116,6 +117,25 @@
         !used && (place + 1.0 + across - circle(turn)).fract() < holders / f64::from(gateways)
     }
 
+    /// Brings what is kept of the fleet from the last walk up to now, by the few engines that moved since: turns that
+    /// were used are none any more, and cold engines, where their bounds count, are a bit warmer.
+    pub(crate) fn follow(&mut self, now: Nanos, cold_counts: bool) {
+        let f = &mut self.fleet;
+        f.visits += f.sent.len() as u64;
+        for id in std::mem::take(&mut f.sent) {
+            if let Ok(at) = f.turns.binary_search(&id) {
+                f.turns.remove(at);
+            }
+        }
+        f.bound = f.warm_bound;
+        if cold_counts {
+            f.visits += f.cold.len() as u64;
+            let cold = f.cold.iter().filter_map(|id| self.engines.get(id));
+            f.bound += cold.map(|e| e.bound * e.warmth(now, &self.s.rules)).sum::<f64>();
+        }
+        f.median_stretch = f.stretches.median().unwrap_or(1.0);
+    }
+
     /// News of the list: engines that are new have that bound per core, and are taken to be that slow.
     pub(crate) fn merge(
         &mut self,
@@ -150,6 +170,7 @@
         let stays = |e: &Engine| e.entry.readiness != Readiness::Gone || needed.contains(&e.entry.id);
         self.engines.retain(|_, e| stays(e));
         self.fleet.recent.retain(|id| self.engines.get(id).is_some_and(Engine::ready));
+        self.fleet.changed();
     }
 
     /// Drops a request that is over and has nothing out, and passes on its key's turn.
@@ -177,6 +198,32 @@
         extras + 1.0 <= b.spare + b.ratio * taken
     }
 
+    /// Rule 2: whether the request may go out again at all, and to this engine.
+    pub(crate) fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
+        let Some((first, sent)) = r.first() else { return true };
+        let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
+        // A repeat has to end while engines know its key, not only to begin.
+        may_repeat(self.effect(r), sent, pair, now + nanos(self.alone(r)))
+    }
+
+    /// Whether it would stand still there for a load: an own one, or one that others were seen to wait for.
+    pub(crate) fn stands(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
+        let (c, group) = (self.class(r), &r.ask.group);
+        let seen = || e.stood_still.get(group).is_some_and(|until| *until > now);
+        (c.is_load || c.waits_for_loads) && (e.held_groups.contains_key(group) || seen())
+    }
+
+    /// Long classes: more than one thread, or loads.
+    pub(crate) fn is_long(&self, r: &Request) -> bool {
+        self.threads(r) > 1.0 || self.class(r).is_load
+    }
+
+    /// Whether withdrawing its attempt could be followed by another.
+    pub(crate) fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
+        let again = self.s.limits.may_cancel && !r.done && self.effect_allows(now, r, None);
+        again && r.sends < r.most_sends && self.budget_allows(now)
+    }
+
     pub(crate) fn class(&self, r: &Request) -> &ClassSpec {
         &self.s.classes[usize::from(r.ask.class.0)]
     }
--- a/tests/inside/law.rs
+++ b/tests/inside/law.rs
@@ -5,7 +5,7 @@
 
 const S: Nanos = 1_000_000_000;
 
-fn settings() -> Settings {
+pub fn settings() -> Settings {
     let class = ClassSpec {
         worth: 1.0,
         late_worth: 0.5,
