--- a/src/policy/anew.rs
+++ b/src/policy/anew.rs
@@ -11,6 +11,12 @@
 const BAD_PLAN: f64 = 1.5; // A plan is bad if its progress points to this many times the tail.
 
 impl Gateway {
+    /// Whether withdrawing its attempt could be followed by another.
+    fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
+        let again = self.s.limits.may_cancel && !r.done && self.effect_allows(now, r, None);
+        again && r.sends < r.most_sends && self.budget_allows(now)
+    }
+
     /// Withdraws its attempt to try anew, if that can still be in time and the stock of cancels allows.
     fn try_anew(&mut self, now: Nanos, id: RequestId, attempt: AttemptNo, acts: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -44,6 +44,21 @@
         open && engine && further && self.effect_allows(now, r, Some(e)) && self.has_turn(now, id, r)
     }
 
+    /// Rule 2: whether the request may go out again at all, and to this engine.
+    pub(super) fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
+        let Some((first, sent)) = r.first() else { return true };
+        let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
+        // A repeat has to end while engines know its key, not only to begin.
+        may_repeat(self.effect(r), sent, pair, now + nanos(self.alone(r)))
+    }
+
+    /// Whether it would stand still there for a load: an own one, or one that others were seen to wait for.
+    pub(super) fn stands(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
+        let (c, group) = (self.class(r), &r.ask.group);
+        let seen = || e.stood_still.get(group).is_some_and(|until| *until > now);
+        (c.is_load || c.waits_for_loads) && (e.held_groups.contains_key(group) || seen())
+    }
+
     /// Lower is better: threads in use under the bound, scaled by slowness against peers.
     fn cost(&self, now: Nanos, r: &Request, e: &Engine) -> f64 {
         let k = self.threads(r);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -198,32 +198,11 @@
         extras + 1.0 <= b.spare + b.ratio * taken
     }
 
-    /// Rule 2: whether the request may go out again at all, and to this engine.
-    pub(crate) fn effect_allows(&self, now: Nanos, r: &Request, e: Option<&Engine>) -> bool {
-        let Some((first, sent)) = r.first() else { return true };
-        let pair = self.engines.get(&first).map(|f| f.entry).zip(e.map(|e| e.entry));
-        // A repeat has to end while engines know its key, not only to begin.
-        may_repeat(self.effect(r), sent, pair, now + nanos(self.alone(r)))
-    }
-
-    /// Whether it would stand still there for a load: an own one, or one that others were seen to wait for.
-    pub(crate) fn stands(&self, now: Nanos, r: &Request, e: &Engine) -> bool {
-        let (c, group) = (self.class(r), &r.ask.group);
-        let seen = || e.stood_still.get(group).is_some_and(|until| *until > now);
-        (c.is_load || c.waits_for_loads) && (e.held_groups.contains_key(group) || seen())
-    }
-
     /// Long classes: more than one thread, or loads.
     pub(crate) fn is_long(&self, r: &Request) -> bool {
         self.threads(r) > 1.0 || self.class(r).is_load
     }
 
-    /// Whether withdrawing its attempt could be followed by another.
-    pub(crate) fn may_try_again(&self, now: Nanos, r: &Request) -> bool {
-        let again = self.s.limits.may_cancel && !r.done && self.effect_allows(now, r, None);
-        again && r.sends < r.most_sends && self.budget_allows(now)
-    }
-
     pub(crate) fn class(&self, r: &Request) -> &ClassSpec {
         &self.s.classes[usize::from(r.ask.class.0)]
     }
