Count what the fleet's actor sends and receives, and let it be one of many in a process

Cause: nothing tells how many datagrams and bytes a manager's membership and duties take, and the actor can't be run beside others in one process: behind the majority it signals its own process, and a voter keeps its votes in TMPDIR.

A thread may be muted in the log. Nothing else differs.

--- a/src/log.rs
+++ b/src/log.rs
@@ -5,6 +5,13 @@
 /// Lines that one place may write in a second.
 const MOST: u32 = 5;
 
+thread_local! { static MUTED: Cell<bool> = const { Cell::new(false) }; }
+
+/// This thread logs nothing from now on: it runs many managers at once, and what it has to say is counted.
+pub fn mute() {
+    MUTED.set(true);
+}
+
 /// What one place in the code has logged of late.
 #[derive(Default)]
 pub struct Place {
@@ -21,6 +28,9 @@
 
     /// Whether a line may be written now, and how many were left out before it.
     pub fn admit(&self) -> Option<u64> {
+        if MUTED.get() {
+            return None;
+        }
         let now = clock::now();
         if now >= self.since.get() + SEC {
             self.since.set(now);
--- a/src/net/duties.rs
+++ b/src/net/duties.rs
@@ -101,8 +101,11 @@
         send: impl Fn(Out) + 'static,
         now: Micros,
     ) -> Result<Desk, String> {
-        let path: PathBuf =
-            super::audit::file(&format!("yokelift-duties-{}", super::handover::plain(&me.name)))?;
+        let name = format!("yokelift-duties-{}", super::handover::plain(&me.name));
+        let path: PathBuf = match shared.hollow.get() {
+            Some(hollow) => hollow.folder.join(name),
+            None => super::audit::file(&name)?,
+        };
         let (jobs, work) = bounded::<(Highest, Out)>(VOTES);
         let (done, votes) = bounded::<Out>(VOTES);
         let voter = duties.voters.contains(&me.name).then(|| kept(&path));
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -20,7 +20,9 @@
 use futures_lite::future::or;
 use serde::Serialize;
 use sha2::{Digest, Sha256};
+use std::cell::Cell;
 use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// What is owned is put down this often: each duty is ranked over all members.
@@ -111,6 +113,14 @@
     pub coordinator: Sender<Move>,
 }
 
+/// What differs for a manager that is one of many in one process.
+pub struct Hollow {
+    /// Where it keeps what it has to find again in its next life.
+    pub folder: PathBuf,
+    /// How often it would have read its configuration again: the process is not its own to signal.
+    pub reloads: Cell<u64>,
+}
+
 /// Runs the membership on its socket, or on that address once the process before this one has left it.
 pub async fn take_seat(shared: Rc<Shared>, mut socket: Option<Async<UdpSocket>>, at: SocketAddr, seat: Seat) {
     while socket.is_none() && shared.life.borrow().stage() != Stage::Stopping {
@@ -140,7 +150,8 @@
     let socket = Rc::new(socket);
     let desk = fleet_duties.map(|duties| {
         let (me, late) = (Holder { name: machine.me().name.clone(), life }, socket.clone());
-        let send = move |(to, bytes): duties::Out| _ = late.get_ref().send_to(&bytes, to);
+        let traffic = shared.traffic.clone();
+        let send = move |(to, bytes): duties::Out| traffic.send(late.get_ref(), to, &bytes);
         Desk::open(&shared, me, &duties, module.clone(), send, now)
     });
     let mut desk = desk.and_then(|desk| desk.map_err(|e| log!("{e}: no duties are shared out")).ok());
@@ -163,6 +174,9 @@
         let mut letters = Vec::new();
         let mut out = Vec::new();
         machine.versions(versions(&shared));
+        if let Some(Came::Datagram((n, _))) = &came {
+            shared.traffic.received(&buffer[..*n]);
+        }
         match (came, &mut desk) {
             (Some(Came::Word(word)), Some(desk)) => desk.word(word, &machine, now, &mut letters),
             (Some(Came::Datagram((n, from))), desk) => match (read(&buffer[..n], most), desk) {
@@ -193,14 +207,13 @@
             }
         }
         for (to, bytes) in letters {
-            let _ = socket.get_ref().send_to(&bytes, to);
+            shared.traffic.send(socket.get_ref(), to, &bytes);
         }
         let mut changed = false;
         for action in out {
             match action {
                 Action::Send(to, message) => {
-                    // A full socket buffer loses the datagram, as the network may: the protocol bears it.
-                    let _ = socket.get_ref().send_to(&wire::encode(&message), to);
+                    shared.traffic.send(socket.get_ref(), to, &wire::encode(&message));
                 }
                 Action::Changed(name, health) => {
                     changed = true;
@@ -236,7 +249,7 @@
             machine.leave(&mut out);
             for action in out {
                 if let Action::Send(to, message) = action {
-                    let _ = socket.get_ref().send_to(&wire::encode(&message), to);
+                    shared.traffic.send(socket.get_ref(), to, &wire::encode(&message));
                 }
             }
             return;
@@ -281,7 +294,13 @@
             log!("fleet: behind the majority: reading the configuration and the list again");
             // Where there is no room another move waits, which does the same.
             let _ = coordinator.try_send(Move { addr: None, known: Vec::new() });
-            let _ = rustix::process::kill_process(rustix::process::getpid(), rustix::process::Signal::HUP);
+            match shared.hollow.get() {
+                Some(hollow) => hollow.reloads.set(hollow.reloads.get() + 1),
+                None => {
+                    let me = rustix::process::getpid();
+                    let _ = rustix::process::kill_process(me, rustix::process::Signal::HUP);
+                }
+            }
         }
         Standing::InStep => *brought_up = false,
         _ => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,6 +12,7 @@
 pub mod list;
 pub mod membership;
 pub mod reload;
+pub mod traffic;
 
 use crate::audit::Acting;
 use crate::clock::{self, Micros};
@@ -20,7 +21,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
@@ -90,6 +91,10 @@
     pub audit: RefCell<Option<Sender<audit::Job>>>,
     /// What the fleet's membership put down last, for the second address.
     pub fleet: RefCell<Option<Rc<membership::View>>>,
+    /// What the fleet's actor sends and receives.
+    pub traffic: Rc<traffic::Traffic>,
+    /// Set where this is one of many managers in one process.
+    pub hollow: OnceCell<membership::Hollow>,
 }
 
 impl Shared {
@@ -126,6 +131,8 @@
             owned: RefCell::default(),
             audit: RefCell::default(),
             fleet: RefCell::default(),
+            traffic: Rc::default(),
+            hollow: OnceCell::new(),
         });
         shared.limit(sockets, memory_mb);
         shared
