Add scale-fleet: hollow managers on real sockets, their joins, traffic, deaths and heals

Cause: the plan has 460 managers before 910 engines, and no rig runs so many of the daemon's own actors at once.

Change: yokelift-kit scale-fleet runs batches of hollow managers, each with the daemon's own actor of the fleet on a UDP socket and a loop in place of its module, on a few threads. It times the start of all, a death, the pass of its duties, new settings, a third cut off and healed, and restarts one after the other; counts quiet traffic, turns' time, processor time and memory; accounts for each datagram; marks figures overloaded where a thread woke 20 ms late or more. A thread that ends, a signal, and the limit are errors; too few descriptors or too little memory is refused before the start.

--- a/src/bin/yokelift-kit/main.rs
+++ b/src/bin/yokelift-kit/main.rs
@@ -2,6 +2,8 @@
 //! emulated ones.
 #![forbid(unsafe_code)]
 
+mod scale_fleet;
+
 use async_io::block_on;
 use clap::{Parser, Subcommand};
 use std::io::Write;
@@ -98,6 +100,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures fleets of hollow managers: the daemon's own actors of the fleet on real sockets on loopback.
+    #[command(after_help = "Example:\n  yokelift-kit scale-fleet --sizes 58x114,460x910 --limit 600 --json")]
+    ScaleFleet(scale_fleet::ScaleFleet),
 }
 
 /// A reader that goes away, as `head` does, ends the output and is no fault.
@@ -171,6 +176,11 @@
             }
             Ok(())
         }
+        What::ScaleFleet(scale) => {
+            let (text, wrong) = scale.run().map_err(one)?;
+            print(&text);
+            if wrong.is_empty() { Ok(()) } else { Err(wrong) }
+        }
     }
 }
 
