Measure one real daemon at a size of engines, clients and statements

Cause: what a manager needs at the size planned for is not measured. Change: yokelift-kit scale starts the daemon between stand-in engines, a stand-in coordinator, idle and busy clients, and reads memory, processor time, context switches and descriptors under /proc, one point after the other; JSON.

--- a/src/bin/yokelift-kit/main.rs
+++ b/src/bin/yokelift-kit/main.rs
@@ -2,6 +2,8 @@
 //! emulated ones.
 #![forbid(unsafe_code)]
 
+mod scale;
+
 use async_io::block_on;
 use clap::{Parser, Subcommand};
 use std::io::Write;
@@ -98,6 +100,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measures what one real daemon needs by the number of engines, idle clients and statements around it.
+    ///
+    /// Starts the daemon between stand-ins, one size after the other. Ends all that it started, also on an error.
+    #[command(after_help = "Example:\n  yokelift-kit scale --point 910:2600:0 --json")]
+    Scale(scale::Words),
 }
 
 /// A reader that goes away, as `head` does, ends the output and is no fault.
@@ -149,6 +156,10 @@
             }
             Ok(())
         }
+        What::Scale(words) => {
+            print(&scale::run(words).map_err(one)?);
+            Ok(())
+        }
         What::Emulate { members, stops, seed, fleet, svg, json } => {
             if members.iter().any(|n| !(3..=1_000).contains(n)) {
                 return Err(one("--members: from 3 to 1000".into()));
--- a/src/kit/daemon.rs
+++ b/src/kit/daemon.rs
@@ -249,6 +249,11 @@
         Ok(())
     }
 
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks it to end.
     pub fn term(&self) {
         self.signal(rustix::process::Signal::TERM);
--- a/src/kit/engines.rs
+++ b/src/kit/engines.rs
@@ -103,6 +103,21 @@
         self.state.script.borrow_mut().push_back(act);
     }
 
+    /// Connections that it has accepted.
+    pub fn connects(&self) -> usize {
+        self.state.streams.borrow().len()
+    }
+
+    /// Those of them that are open.
+    pub fn open(&self) -> usize {
+        self.state.streams.borrow().iter().filter(|stream| stream.strong_count() > 0).count()
+    }
+
+    /// Whether it takes connections.
+    pub fn serves(&self) -> bool {
+        self.task.as_ref().is_some_and(|task| !task.is_finished())
+    }
+
     /// The process ends: its connections with it, and new ones are refused.
     pub fn down(&mut self) {
         self.task = None;
--- a/src/kit/mod.rs
+++ b/src/kit/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod plot;
 pub mod relay;
+pub mod scale;
 pub mod script;
 pub mod soundings;
 
