Measure a grid of sizes, fit lines through it, and refuse what has no room

Cause: single points say neither what one more engine, client or statement costs, nor whether that holds. Change: the usual grid or chosen points, plays with their spread, least squares marked where the worst residual is over a tenth, tables in Markdown; a refusal before the start where descriptors or memory don't reach, with the nearest size that fits; a signal, the time limit, a daemon that dies or a stand-in that fails ends all with an error.

--- a/src/bin/yokelift-kit/scale.rs
+++ b/src/bin/yokelift-kit/scale.rs
@@ -6,6 +6,8 @@
 use futures_lite::future::or;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
+use yokelift::kit::scale::report::Report;
+use yokelift::kit::scale::room::Room;
 use yokelift::kit::scale::{self, Options, Point, Progress, daemons};
 
 /// What `scale` is told.
@@ -23,6 +25,9 @@
     /// The window of a point, in seconds [default: 5, or 2 with --quick].
     #[arg(long)]
     seconds: Option<f64>,
+    /// Seconds of statements before the window of a point that has some [default: 14, or 3 with --quick].
+    #[arg(long)]
+    settle: Option<f64>,
     /// Managers that the settings tell of.
     #[arg(long, default_value_t = 460)]
     managers: u64,
@@ -58,17 +63,25 @@
 /// Measures, and gives the text to print.
 pub fn run(words: Words) -> Result<String, String> {
     let seconds = words.seconds.unwrap_or(if words.quick { 2.0 } else { 5.0 });
-    if !(0.5..=600.0).contains(&seconds) || !(1..=100).contains(&words.plays) || words.managers == 0 {
-        return Err("--seconds from 0.5 to 600, --plays from 1 to 100, --managers above 0".into());
+    let settle = words.settle.unwrap_or(if words.quick { 3.0 } else { 14.0 });
+    if ![seconds, settle].iter().all(|s| (0.5..=600.0).contains(s))
+        || !(1..=100).contains(&words.plays)
+        || words.managers == 0
+    {
+        return Err(
+            "--seconds and --settle from 0.5 to 600, --plays from 1 to 100, --managers above 0".into()
+        );
     }
     let me = std::env::current_exe().map_err(|e| e.to_string())?;
     let options = Options {
         daemon: words.daemon.unwrap_or_else(|| me.with_file_name("yokelift")),
         managers: words.managers,
         settle: Duration::from_secs_f64(seconds.min(3.0)),
+        settle_busy: Duration::from_secs_f64(settle),
         window: Duration::from_secs_f64(seconds),
     };
     let points = if words.points.is_empty() { scale::grid(words.quick) } else { words.points };
+    Room::here().check(&points)?;
     let sockets = daemons::sockets(&points);
     let limit_at = Instant::now() + Duration::from_secs(words.limit);
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| e.to_string())?;
@@ -79,9 +92,10 @@
             let number = play * points.len() + at + 1;
             let mut word = |progress: &Progress| {
                 let Point { engines, clients, rate } = point;
-                let (after, doing) = (begun.elapsed().as_secs(), progress.doing);
+                let (after, Progress { pid, doing }) = (begun.elapsed().as_secs(), progress);
                 eprintln!(
-                    "{after} s, {number} of {count}, {engines} engines, {clients} clients, {rate} statements/s: {doing}"
+                    "{after} s, {number} of {count}: {engines} engines, {clients} clients, {rate} statements/s, \
+                    daemon {pid}: {doing}"
                 );
             };
             let until = ended(limit_at, &mut signals);
@@ -89,5 +103,6 @@
         }
         plays.push(measured);
     }
-    Ok(serde_json::to_string(&plays).map_err(|e| e.to_string())? + "\n")
+    let report = Report::new(plays);
+    if words.json { report.json() } else { Ok(report.markdown()) }
 }
--- a/src/kit/scale/mod.rs
+++ b/src/kit/scale/mod.rs
@@ -3,6 +3,9 @@
 pub mod fit;
 pub mod load;
 pub mod proc;
+pub mod report;
+pub mod room;
+mod site;
 
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -70,10 +73,19 @@
     pub managers: u64,
     /// For so long the daemon is left alone before.
     pub settle: Duration,
+    /// The same with statements: until as many connections to engines fall idle and close as are made.
+    pub settle_busy: Duration,
     /// The window in which it is measured.
     pub window: Duration,
 }
 
+impl Options {
+    /// How long the daemon is left alone before it is measured.
+    pub fn settle(&self, point: &Point) -> Duration {
+        if point.rate > 0.0 { self.settle_busy } else { self.settle }
+    }
+}
+
 /// Where a run stands.
 #[derive(Clone, Debug)]
 pub struct Progress {
