--- a/src/bin/yokelift-kit/main.rs
+++ b/src/bin/yokelift-kit/main.rs
@@ -2,6 +2,7 @@
 //! emulated ones.
 #![forbid(unsafe_code)]
 
+mod scale;
 mod scale_fleet;
 
 use async_io::block_on;
@@ -103,6 +104,11 @@
     /// Measures fleets of hollow managers: the daemon's own actors of the fleet on real sockets on loopback.
     #[command(after_help = "Example:\n  yokelift-kit scale-fleet --sizes 58x114,460x910 --limit 600 --json")]
     ScaleFleet(scale_fleet::ScaleFleet),
+    /// Measures what one real daemon needs by the number of engines, idle clients and statements around it.
+    ///
+    /// Starts the daemon between stand-ins, one size after the other. Ends all that it started, also on an error.
+    #[command(after_help = "Example:\n  yokelift-kit scale --point 910:2600:0 --json")]
+    Scale(scale::Words),
 }
 
 /// A reader that goes away, as `head` does, ends the output and is no fault.
@@ -154,6 +160,10 @@
             }
             Ok(())
         }
+        What::Scale(words) => {
+            print(&scale::run(words).map_err(one)?);
+            Ok(())
+        }
         What::Emulate { members, stops, seed, fleet, svg, json } => {
             if members.iter().any(|n| !(3..=1_000).contains(n)) {
                 return Err(one("--members: from 3 to 1000".into()));
