End all stand-ins of a point before the next one begins

Cause: tasks that were ended with a point kept their sockets, since nobody ran the executor any more: a play of the grid left thousands of descriptors, and memory, to the next. Change: the executor runs on for 30 ms after a point; the stand-in coordinator can be ended and takes no connections then; descriptors of the stand-ins beside the sockets of the point are among the figures.

--- a/src/kit/coordinator.rs
+++ b/src/kit/coordinator.rs
@@ -2,7 +2,9 @@
 use super::{Executor, listener};
 use crate::interface::Readiness;
 use crate::net::list::Listed;
+use async_channel::{Sender, bounded};
 use async_io::{Async, Timer};
+use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, StreamExt};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -20,6 +22,8 @@
     breaks: Rc<RefCell<u64>>,
     /// Counts up to keep events from all connections there are.
     stalls: Rc<Cell<u64>>,
+    /// Closed to end it; it lives on where this is merely dropped.
+    ending: Sender<()>,
 }
 
 fn record(listed: &Listed) -> Vec<u8> {
@@ -69,15 +73,22 @@
         let stalls: Rc<Cell<u64>> = Rc::default();
         let stalled = stalls.clone();
         let (all, broken, spawner) = (frames.clone(), breaks.clone(), executor.clone());
+        let (ending, ended) = bounded::<()>(1);
+        let kept = ending.clone();
         let serve = async move {
             let mut incoming = Box::pin(listener.incoming());
-            while let Some(Ok(stream)) = incoming.next().await {
+            let end = async || {
+                let _ = ended.recv().await;
+                None
+            };
+            while let Some(Ok(stream)) = or(end(), incoming.next()).await {
                 let (frames, breaks, stalls) = (all.clone(), broken.clone(), stalled.clone());
                 spawner.spawn(async move { drop(feed(stream, &frames, &breaks, &stalls).await) }).detach();
             }
+            drop(kept);
         };
         executor.spawn(serve).detach();
-        Coordinator { addr, frames, breaks, stalls }
+        Coordinator { addr, frames, breaks, stalls, ending }
     }
 
     /// A new event: what has changed, or the whole list.
@@ -93,6 +104,12 @@
         self.stalls.set(self.stalls.get() + 1);
     }
 
+    /// Takes no connections any more and breaks all there are.
+    pub fn end(&self) {
+        self.ending.close();
+        self.cut();
+    }
+
     /// Breaks all connections.
     pub fn cut(&self) {
         *self.breaks.borrow_mut() += 1;
--- a/src/kit/scale/daemons.rs
+++ b/src/kit/scale/daemons.rs
@@ -6,7 +6,7 @@
 use crate::kit::coordinator::{Coordinator, known};
 use crate::kit::daemon::{self, Daemon, KINDS, ZONES};
 use crate::kit::engines::Engine;
-use crate::kit::{Book, Executor};
+use crate::kit::{Book, Executor, pause};
 use crate::net::list::{Listed, listed};
 use async_executor::LocalExecutor;
 use async_io::block_on;
@@ -20,6 +20,9 @@
 /// Statements a second that all managers together may have of the tenants: enough for the whole load.
 const QUOTA_PER_S: f64 = 350_000.0;
 
+/// The stand-ins have so long to end, in milliseconds.
+const PARTING_MS: u64 = 30;
+
 /// What was measured at a point. What is said to be of the window was counted in it alone.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Measured {
@@ -43,6 +46,8 @@
     pub anon_kib: u64,
     /// Resident memory of all stand-ins then, in KiB.
     pub stand_ins_rss_kib: u64,
+    /// Descriptors of this process then, but for engines' listeners and both ends of what the daemon is connected to.
+    pub stand_ins_descriptors: u64,
     /// Processor time over the window, in microseconds a second.
     pub cpu_us_per_s: f64,
     /// The same by the coarser count of clock ticks, in ticks of 10 ms over the whole window.
@@ -121,7 +126,10 @@
 ) -> Result<Measured, String> {
     let executor: Executor = Rc::new(LocalExecutor::new());
     let ended = async { Err(until.await) };
-    block_on(executor.run(or(ended, one(&executor, point, options, sockets, progress))))
+    let measured = block_on(executor.run(or(ended, one(&executor, point, options, sockets, progress))));
+    // What was ended lets go of its sockets in a turn of its own.
+    block_on(executor.run(pause(PARTING_MS)));
+    measured
 }
 
 async fn one(
--- a/src/kit/scale/site.rs
+++ b/src/kit/scale/site.rs
@@ -38,6 +38,12 @@
     pub(super) doing: Cell<&'static str>,
 }
 
+impl Drop for Site<'_> {
+    fn drop(&mut self) {
+        self.coordinator.end();
+    }
+}
+
 /// What was counted up to an instant.
 struct Counts {
     at: Instant,
@@ -194,7 +200,6 @@
         let per_s = |a: u64, b: u64| b.saturating_sub(a) as f64 / seconds;
         m.seconds = seconds;
         (m.rss_kib, m.anon_kib) = (to.usage.rss_kib, to.usage.anon_kib);
-        m.stand_ins_rss_kib = proc::usage(std::process::id()).map_or(0, |u| u.rss_kib);
         m.cpu_us_per_s = per_s(from.usage.cpu_ns, to.usage.cpu_ns) / 1e3;
         m.cpu_ticks = to.usage.cpu_ticks - from.usage.cpu_ticks;
         m.switches_per_s = per_s(from.usage.switches, to.usage.switches);
@@ -216,6 +221,10 @@
             m.connects = self.engines.iter().map(connects).sum();
             m.engines_reached = self.engines.iter().filter(|e| connects(e) > 0).count() as u64;
             m.descriptors = self.usage()?.descriptors;
+            let stand_ins = proc::usage(std::process::id()).map_err(|e| e.to_string())?;
+            let peers = m.engines + m.client_connections + m.engine_connections;
+            (m.stand_ins_rss_kib, m.stand_ins_descriptors) =
+                (stand_ins.rss_kib, stand_ins.descriptors.saturating_sub(peers));
             if m.descriptors == m.fixed_descriptors + m.client_connections + m.engine_connections {
                 return Ok(());
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,5 +1,6 @@
 //! The scale rig on sizes that any machine has room for: counts and bounds, no speeds.
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 use std::future::pending;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
@@ -98,6 +99,23 @@
     }
 }
 
+/// Guards long runs against descriptors that points leave behind, and the form that other programs read.
+#[test]
+fn one_play_leaves_nothing_to_the_next() {
+    let words = ["--point", "24:8:20", "--seconds", "0.5", "--settle", "0.5", "--managers", "2"];
+    let kit = Command::new(env!("CARGO_BIN_EXE_yokelift-kit"))
+        .args(["scale", "--json", "--plays", "3"])
+        .args(words)
+        .args(["--daemon", env!("CARGO_BIN_EXE_yokelift")])
+        .output()
+        .expect("the kit");
+    let report: Value = serde_json::from_slice(&kit.stdout).expect("JSON");
+    let own = |play: &Value| play[0]["stand_ins_descriptors"].as_u64().expect("a count");
+    let own: Vec<u64> = report["plays"].as_array().expect("plays").iter().map(own).collect();
+    assert!(kit.status.success() && own.len() == 3 && own[0] > 0, "{report}");
+    assert!(own.iter().all(|n| *n == own[0]), "{own:?}");
+}
+
 /// Guards the machine's limits: what has no room is not begun, and what is said to fit does.
 #[test]
 fn a_size_that_does_not_fit_is_refused_with_both_figures() {
