Count the statements of a window into the memory that a point needs

Cause: the stand-ins' book keeps every statement; a long window of many was not refused where memory is short.

--- a/src/bin/yokelift-kit/scale.rs
+++ b/src/bin/yokelift-kit/scale.rs
@@ -81,7 +81,7 @@
         window: Duration::from_secs_f64(seconds),
     };
     let points = if words.points.is_empty() { scale::grid(words.quick) } else { words.points };
-    Room::here().check(&points)?;
+    Room::here().check(&points, &options)?;
     let sockets = daemons::sockets(&points);
     let limit_at = Instant::now() + Duration::from_secs(words.limit);
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| e.to_string())?;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -11,15 +11,18 @@
 use yokelift::kit::scale::room::Room;
 use yokelift::kit::scale::{Options, Point, Progress, grid, proc};
 
-fn run(point: Point, window_ms: u64, progress: &mut dyn FnMut(&Progress)) -> Result<Measured, String> {
-    let options = Options {
+fn options(window_ms: u64) -> Options {
+    Options {
         daemon: Path::new(env!("CARGO_BIN_EXE_yokelift")).into(),
         managers: 2,
         settle: Duration::from_millis(200),
         settle_busy: Duration::from_millis(200),
         window: Duration::from_millis(window_ms),
-    };
-    measure(&point, &options, sockets(&[point]), pending(), progress)
+    }
+}
+
+fn run(point: Point, window_ms: u64, progress: &mut dyn FnMut(&Progress)) -> Result<Measured, String> {
+    measure(&point, &options(window_ms), sockets(&[point]), pending(), progress)
 }
 
 fn signal(pid: u32, signal: Signal) {
@@ -120,9 +123,10 @@
 #[test]
 fn a_size_that_does_not_fit_is_refused_with_both_figures() {
     let point = Point::new(910, 2_600, 0.0);
-    let need = Room::of(&point, sockets(&[point]));
+    let options = options(1_000);
+    let need = Room::of(&point, sockets(&[point]), &options);
     let enough = need;
-    assert_eq!(enough.check(&[point]), Ok(()));
+    assert_eq!(enough.check(&[point], &options), Ok(()));
     let less = |change: fn(&mut Room)| {
         let mut room = enough;
         change(&mut room);
@@ -134,24 +138,27 @@
         less(|r| r.memory_mib = 300),
         less(|r| r.own_descriptors = 100),
     ] {
-        let why = room.check(&[Point::new(1, 0, 0.0), point]).expect_err("no room");
+        let why = room.check(&[Point::new(1, 0, 0.0), point], &options).expect_err("no room");
         let shown = |r: &Room| [r.own_descriptors, r.daemon_descriptors, r.memory_mib].map(|n| n.to_string());
         let mut rest = why.as_str();
         for figure in shown(&need).iter().chain(&shown(&room)) {
             rest = rest.split_once(figure.as_str()).unwrap_or_else(|| panic!("{figure} in {why}")).1;
         }
-        match room.nearest(&point) {
+        match room.nearest(&point, &options) {
             Some(fits) => {
                 assert!(
                     why.contains(&format!("{} engines with {} clients would", fits.engines, fits.clients))
                 );
-                assert_eq!(room.check(&[fits]), Ok(()));
+                assert_eq!(room.check(&[fits], &options), Ok(()));
             }
             None => assert!(why.contains("nothing fits"), "{why}"),
         }
     }
+    // A minute of statements takes more room than a second of them.
+    let busy = |ms| Room::of(&Point::new(10, 0, 600.0), 256, &self::options(ms)).memory_mib;
+    assert!(busy(60_000) > busy(1_000) + 59);
     let none = Room { own_descriptors: 10, ..enough };
-    assert_eq!(none.nearest(&point), None);
+    assert_eq!(none.nearest(&point, &options), None);
 }
 
 /// Guards the words of points and of `/proc`.
