--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,5 +1,6 @@
 //! The scale rig on sizes that any machine has room for: counts and bounds, no speeds.
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 use std::future::pending;
 use std::io::{BufRead, BufReader};
 use std::path::Path;
@@ -10,15 +11,18 @@
 use yokelift::kit::scale::room::Room;
 use yokelift::kit::scale::{Options, Point, Progress, grid, proc};
 
-fn run(point: Point, window_ms: u64, progress: &mut dyn FnMut(&Progress)) -> Result<Measured, String> {
-    let options = Options {
+fn options(window_ms: u64) -> Options {
+    Options {
         daemon: Path::new(env!("CARGO_BIN_EXE_yokelift")).into(),
         managers: 2,
         settle: Duration::from_millis(200),
         settle_busy: Duration::from_millis(200),
         window: Duration::from_millis(window_ms),
-    };
-    measure(&point, &options, sockets(&[point]), pending(), progress)
+    }
+}
+
+fn run(point: Point, window_ms: u64, progress: &mut dyn FnMut(&Progress)) -> Result<Measured, String> {
+    measure(&point, &options(window_ms), sockets(&[point]), pending(), progress)
 }
 
 fn signal(pid: u32, signal: Signal) {
@@ -98,13 +102,31 @@
     }
 }
 
+/// Guards long runs against descriptors that points leave behind, and the form that other programs read.
+#[test]
+fn one_play_leaves_nothing_to_the_next() {
+    let words = ["--point", "24:8:20", "--seconds", "0.5", "--settle", "0.5", "--managers", "2"];
+    let kit = Command::new(env!("CARGO_BIN_EXE_yokelift-kit"))
+        .args(["scale", "--json", "--plays", "3"])
+        .args(words)
+        .args(["--daemon", env!("CARGO_BIN_EXE_yokelift")])
+        .output()
+        .expect("the kit");
+    let report: Value = serde_json::from_slice(&kit.stdout).expect("JSON");
+    let own = |play: &Value| play[0]["stand_ins_descriptors"].as_u64().expect("a count");
+    let own: Vec<u64> = report["plays"].as_array().expect("plays").iter().map(own).collect();
+    assert!(kit.status.success() && own.len() == 3 && own[0] > 0, "{report}");
+    assert!(own.iter().all(|n| *n == own[0]), "{own:?}");
+}
+
 /// Guards the machine's limits: what has no room is not begun, and what is said to fit does.
 #[test]
 fn a_size_that_does_not_fit_is_refused_with_both_figures() {
     let point = Point::new(910, 2_600, 0.0);
-    let need = Room::of(&point, sockets(&[point]));
+    let options = options(1_000);
+    let need = Room::of(&point, sockets(&[point]), &options);
     let enough = need;
-    assert_eq!(enough.check(&[point]), Ok(()));
+    assert_eq!(enough.check(&[point], &options), Ok(()));
     let less = |change: fn(&mut Room)| {
         let mut room = enough;
         change(&mut room);
@@ -116,24 +138,27 @@
         less(|r| r.memory_mib = 300),
         less(|r| r.own_descriptors = 100),
     ] {
-        let why = room.check(&[Point::new(1, 0, 0.0), point]).expect_err("no room");
+        let why = room.check(&[Point::new(1, 0, 0.0), point], &options).expect_err("no room");
         let shown = |r: &Room| [r.own_descriptors, r.daemon_descriptors, r.memory_mib].map(|n| n.to_string());
         let mut rest = why.as_str();
         for figure in shown(&need).iter().chain(&shown(&room)) {
             rest = rest.split_once(figure.as_str()).unwrap_or_else(|| panic!("{figure} in {why}")).1;
         }
-        match room.nearest(&point) {
+        match room.nearest(&point, &options) {
             Some(fits) => {
                 assert!(
                     why.contains(&format!("{} engines with {} clients would", fits.engines, fits.clients))
                 );
-                assert_eq!(room.check(&[fits]), Ok(()));
+                assert_eq!(room.check(&[fits], &options), Ok(()));
             }
             None => assert!(why.contains("nothing fits"), "{why}"),
         }
     }
+    // A minute of statements takes more room than a second of them.
+    let busy = |ms| Room::of(&Point::new(10, 0, 600.0), 256, &self::options(ms)).memory_mib;
+    assert!(busy(60_000) > busy(1_000) + 59);
     let none = Room { own_descriptors: 10, ..enough };
-    assert_eq!(none.nearest(&point), None);
+    assert_eq!(none.nearest(&point, &options), None);
 }
 
 /// Guards the words of points and of `/proc`.
