--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -37,7 +37,7 @@
     let start = |id| ToEngine::Start(Job { id: RequestId(id), ..Job::default() });
     // Every place up to the limit is taken.
     let before = getrlimit(Resource::Nofile);
-    let few = Rlimit { current: Some(64), ..before.clone() };
+    let few = Rlimit { current: Some(64), ..before };
     setrlimit(Resource::Nofile, few).expect("a lower limit");
     let taken: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
     assert_eq!(row.tell(start(1)), Ok(()));
