Ask whether an engine may be ejected only where that decides

Cause: each outcome walked twice over all engines to see whether one may be ejected, also where the answer was good. Change: asked last, and once over.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -21,7 +21,6 @@
 impl Gateway {
     /// Outlier ejection: fast failures, resets, failed connects, time-outs without life, against peers.
     pub(super) fn judge(&mut self, now: Nanos, o: &Outcome, out: &Out) {
-        let may_eject = self.may_eject(o.engine);
         let Some(e) = self.engines.get_mut(&o.engine) else { return };
         let trial = e.health == Health::HalfOpen(Some(o.id));
         let silent = out.life_at.max(e.life_at) <= out.sent;
@@ -45,7 +44,10 @@
         e.reset_at = if o.kind == OutcomeKind::Reset { now } else { e.reset_at };
         let weight = if e.start < self.sharers { 0.5 } else { FAIL_WEIGHT };
         e.fail_share += weight * (f64::from(u8::from(failed)) - e.fail_share);
-        if failed && (trial || (may_eject && e.fail_share > FAIL_SHARE)) {
+        let bad = failed && (trial || e.fail_share > FAIL_SHARE);
+        let ejects = bad && (trial || self.may_eject(o.engine)); // Walks over the fleet: asked last.
+        let Some(e) = self.engines.get_mut(&o.engine) else { return };
+        if ejects {
             e.eject(now, &mut self.fleet);
         } else if !failed {
             e.full_until = if o.kind == OutcomeKind::Full { now + PERIOD } else { e.full_until };
@@ -60,9 +62,8 @@
 
     /// Judged against peers: with most engines bad already nobody is ejected.
     pub(super) fn may_eject(&self, engine: EngineId) -> bool {
-        let ready = self.engines.values().filter(|e| e.ready());
-        let out = ready.clone().filter(|e| e.health != Health::Closed && e.entry.id != engine).count();
-        (out + 1) as f64 <= EJECT_MOST * ready.count() as f64
+        let out = |e: &&Engine| e.ready() && e.health != Health::Closed && e.entry.id != engine;
+        (self.engines.values().filter(out).count() + 1) as f64 <= EJECT_MOST * self.fleet.ready.len() as f64
     }
 
     /// What an answer teaches of its engine and its class.
