Count hollow managers that shut themselves out; tell a rolling restart's latest wake

Cause: after new settings at all, managers judge themselves behind the old majority and nobody counted those that shut themselves out for it; and the latest wake told with restarts was that after the last of them, 0 ms.

--- a/src/bin/yokelift-kit/scale_fleet.rs
+++ b/src/bin/yokelift-kit/scale_fleet.rs
@@ -53,6 +53,9 @@
     /// Real daemons to greet at the start, by their fleet's addresses.
     #[arg(long, value_delimiter = ',')]
     greet: Vec<SocketAddr>,
+    /// Seconds that pass after the start and after each disturbance before the next thing is measured.
+    #[arg(long, default_value_t = 10)]
+    settle: u64,
     /// Seconds of quiet traffic that are counted.
     #[arg(long, default_value_t = 20)]
     quiet: u64,
@@ -99,6 +102,7 @@
             threads: self.threads.unwrap_or(plan.threads),
             console: self.console,
             greet: self.greet.clone(),
+            settle: Duration::from_secs(self.settle),
             quiet: Duration::from_secs(self.quiet),
             cut: Duration::from_secs(self.cut),
             rolling: self.rolling,
--- a/src/kit/scale/events.rs
+++ b/src/kit/scale/events.rs
@@ -47,6 +47,7 @@
             wants: plan.wants,
             seed: plan.seed,
             threads: plan.threads,
+            settle_seconds: plan.settle.as_secs_f64(),
             console: plan.console,
             ..Figures::default()
         };
@@ -167,20 +168,22 @@
         Ok(())
     }
 
-    /// Starts a manager anew, until all others take the new life for alive and it takes all for alive.
-    fn restart(&mut self, who: usize, what: &str) -> Result<Option<u64>, String> {
+    /// Starts a manager anew, until all others take the new life for alive and it takes all for alive: how long that took,
+    /// and the latest wake of a thread meanwhile, both in milliseconds.
+    fn restart(&mut self, who: usize, what: &str) -> Result<(Option<u64>, f64), String> {
         let life = self.rig.read()?.get(who).map_or(0, |reading| reading.life);
         let others = self.rig.all_but(&[who]);
         self.rig.look(Goal::Reborn(self.rig.plan.name(who), life + NEXT_LIFE));
         let since = self.rig.board.now_ms();
         self.rig.restart(who);
         let spread = self.rig.reach(what, &others)?;
-        let known = self.took(what, since, spread).all_ms;
+        let known = self.took(what, since, spread);
         self.rig.look(Goal::Alive(self.others()));
         let spread = self.rig.reach("it knows all", &[who])?;
-        let knows = self.took("knows all after its start", since, spread).all_ms;
+        let knows = self.took("knows all after its start", since, spread);
         self.rig.look(Goal::Idle);
-        Ok(known.zip(knows).map(|(known, knows)| known.max(knows)))
+        let both = known.all_ms.zip(knows.all_ms).map(|(known, knows)| known.max(knows));
+        Ok((both, known.latest_wake_ms.max(knows.latest_wake_ms)))
     }
 
     /// New settings at all, until all know.
@@ -231,10 +234,10 @@
         self.late();
         let (mut rolling, first) = (Rolling::default(), self.rig.plan.seed as usize);
         for k in 0..count {
-            let took = self.restart((first + k) % managers, "restarts one after the other")?;
+            let (took, late) = self.restart((first + k) % managers, "restarts one after the other")?;
             rolling.each_ms.push(took);
+            rolling.latest_wake_ms = rolling.latest_wake_ms.max(late);
         }
-        rolling.latest_wake_ms = self.late();
         self.figures.rolling = Some(rolling);
         Ok(())
     }
--- a/src/kit/scale/figures.rs
+++ b/src/kit/scale/figures.rs
@@ -169,6 +169,8 @@
     pub dropped: u64,
     /// How often a manager would have read its configuration again for being behind.
     pub reloads: u64,
+    /// How often a manager shut itself out for being behind.
+    pub shut_outs: u64,
 }
 
 impl Accounts {
@@ -180,6 +182,7 @@
             accounts.unread = accounts.unread.plus(reading.unread);
             accounts.dropped += reading.dropped;
             accounts.reloads += reading.reloads;
+            accounts.shut_outs += reading.shut_outs;
         }
         let counts = &accounts.counts;
         let found = counts.received().plus(counts.cut).plus(accounts.unread).datagrams + lost;
@@ -203,6 +206,8 @@
     pub seed: u64,
     /// Threads.
     pub threads: usize,
+    /// Seconds that passed between the start and quiet traffic, and after each disturbance.
+    pub settle_seconds: f64,
     /// Whether owned duties were put down for a second address.
     pub console: bool,
     /// Whether a thread woke too late: the figures are then those of a machine that is too small.
@@ -256,6 +261,7 @@
         "settings ms",
         "heal ms",
         "restart ms, worst",
+        "shut out",
         "missing",
     ]);
     let bytes = |r: &Rate| format!("{:.0} + {:.0}", r.sent_bytes, r.received_bytes);
@@ -284,6 +290,7 @@
             ms(f.settings.all_ms),
             f.cut.as_ref().map_or_else(|| "-".into(), |cut| ms(cut.healed.all_ms)),
             restart.unwrap_or_else(|| "-".into()),
+            f.accounts.shut_outs.to_string(),
             f.accounts.missing.to_string(),
         ]);
     }
--- a/src/kit/scale/fleet.rs
+++ b/src/kit/scale/fleet.rs
@@ -79,7 +79,7 @@
             quiet: Duration::from_secs(20),
             cut: Duration::ZERO,
             rolling: 0,
-            patience: Duration::from_secs(90),
+            patience: Duration::from_secs(120),
             limit: Duration::from_secs(300),
             progress: false,
         }
--- a/src/kit/scale/hollow.rs
+++ b/src/kit/scale/hollow.rs
@@ -68,6 +68,8 @@
     pub told: u64,
     /// How often it would have read its configuration again.
     pub reloads: u64,
+    /// How often it was seen to shut itself out for being behind the majority.
+    pub shut_outs: u64,
     /// Others that it takes for alive.
     pub alive: usize,
     /// Datagrams that it could not use.
@@ -92,6 +94,8 @@
     before: Reading,
     /// What it was seen to see last.
     seen: Option<Rc<View>>,
+    /// Whether it was shut out when it was looked at last.
+    out: bool,
     /// It is to be started anew once it has gone.
     again: bool,
 }
@@ -126,6 +130,7 @@
             life: None,
             before: Reading { who, ..Reading::default() },
             seen: None,
+            out: false,
             again: false,
         });
         let mut managers: Vec<Manager> = managers.collect();
@@ -191,6 +196,9 @@
                 self.begin(executor, manager, settings);
             }
             let Some(life) = manager.life.as_ref().filter(|life| !life.pulse.stopped.get()) else { continue };
+            let out = life.shared.life.borrow().is_shut_out();
+            manager.before.shut_outs += u64::from(out && !manager.out);
+            manager.out = out;
             if *goal == Goal::Idle {
                 continue;
             }
@@ -241,7 +249,7 @@
         };
         let task = executor.spawn(Run { inner: Box::pin(actors), pulse: pulse.clone() });
         manager.life = Some(Life { shared, pulse, asked, begun, task });
-        (manager.again, manager.seen) = (false, None);
+        (manager.again, manager.seen, manager.out) = (false, None, false);
     }
 }
 
@@ -305,6 +313,7 @@
             probes: reading.probes + life.asked.probes.get(),
             told: reading.told + life.asked.told.get(),
             reloads: reading.reloads + reloads,
+            shut_outs: reading.shut_outs,
             alive,
             dropped: reading.dropped + dropped,
         }
