--- a/src/testkit/clients/mod.rs
+++ b/src/testkit/clients/mod.rs
@@ -2,6 +2,7 @@
 mod http;
 mod persistent;
 mod rpc;
+mod sustained;
 
 pub use http::{PING, call_admin, http, http_request, http_with_disconnect, parse_http_response};
 pub use persistent::{PendingOutcome, PersistentClient};
@@ -9,6 +10,10 @@
     RpcRequest, STATUS, is_ready, keyed_line, parse_rpc_response, rpc, rpc_line,
     rpc_with_disconnect,
 };
+pub use sustained::{
+    CLOSE_CROSSING, ConnectionEnd, SustainedLoad, SustainedLoadPlan, SustainedLoadReport,
+    SustainedRequest,
+};
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
--- a/src/testkit/daemon/mod.rs
+++ b/src/testkit/daemon/mod.rs
@@ -282,6 +282,11 @@
         status
     }
 
+    /// How it ended, if it has.
+    pub fn poll_exit(&mut self) -> Option<ExitStatus> {
+        exit_status(&mut self.child)
+    }
+
     /// Everything that its processes have logged.
     pub fn log(&self) -> String {
         let read = |start| std::fs::read_to_string(self.folder.path(&log_file(start)));
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,180 @@
+//! The end of a process whose clients go on. A process that was told to end and waited for a moment
+//! without open requests never found one: each client sent its next request on its open connection,
+//! it was admitted, and the forced end had already answered what was open then. At the kill the
+//! process was still alive, and every request since the forced end was without an answer: of 12
+//! connections with a request each 40 ms, 95 to 134 at the earliest kill (3.70 s), all sent from
+//! 3.45 s on; the last line of its log was the one that it is asked to end. See
+//! docs/incidents/shutdown-under-load.md.
+use rustix::process::{Pid, Signal, kill_process};
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::ExitStatus;
+use std::time::{Duration, Instant};
+use yokelift::testkit::Executor;
+use yokelift::testkit::clients::{SustainedLoad, SustainedLoadPlan, SustainedLoadReport};
+use yokelift::testkit::coordinator::{Coordinator, known, ready_endpoint};
+use yokelift::testkit::daemon::{Daemon, DaemonOptions, KINDS, ZONES, settings};
+
+/// The longest deadline that the platform waits for at a planned restart.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+/// How long after that the platform kills the process at the earliest.
+const KILL_SLACK: Duration = Duration::from_millis(700);
+/// How long the clients send before the process is told to end.
+const LOAD_BEFORE_SHUTDOWN: Duration = Duration::from_millis(800);
+
+const ONE_TERM: [(Signal, Duration); 1] = [(Signal::TERM, Duration::ZERO)];
+
+const CLASSES: [(&str, &str); 3] = [
+    ("lookup", "SELECT 1"),
+    ("report", "SELECT 2"),
+    ("load", "INSERT INTO sales_17.orders SELECT 1"),
+];
+
+/// What became of the requests, and of the process by the time of the kill.
+struct Shutdown {
+    report: SustainedLoadReport,
+    status: Option<ExitStatus>,
+    log: String,
+}
+
+/// The engines in the daemon's list.
+#[derive(Clone, Copy, PartialEq)]
+enum Engines {
+    /// There is none.
+    None,
+    /// One whose connections are made, and which says nothing on them.
+    Hanging,
+}
+
+/// Starts a daemon, has the clients send, signals it, and kills it at the earliest moment that the
+/// platform does.
+fn shut_down_under_load(
+    plan: &SustainedLoadPlan,
+    engines: Engines,
+    signals: &[(Signal, Duration)],
+) -> Shutdown {
+    // Nobody accepts what is in its backlog.
+    let hanging = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let hanging_addr = hanging.local_addr().expect("an address");
+    let listed = match engines {
+        Engines::None => Vec::new(),
+        Engines::Hanging => vec![ready_endpoint(1, hanging_addr)],
+    };
+    let executor = Executor::default();
+    let coordinator = Coordinator::start(&executor);
+    let options = DaemonOptions {
+        coordinator: coordinator.addr,
+        known: known(&listed, &ZONES, &KINDS),
+        deploy_file: None,
+        max_sockets: 256,
+        has_admin_endpoint: true,
+        settings: settings(),
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_yokelift"));
+    let start = Daemon::start(program, options);
+    let mut daemon = async_io::block_on(executor.run(start)).expect("the daemon starts");
+
+    let load = SustainedLoad::start(daemon.listen, plan.clone());
+    std::thread::sleep(LOAD_BEFORE_SHUTDOWN);
+    let pid = Pid::from_raw(daemon.pid() as i32).expect("a process id is above 0");
+    let mut told_at = None;
+    for (signal, pause) in signals {
+        kill_process(pid, *signal).expect("it runs");
+        if *signal == Signal::TERM {
+            told_at.get_or_insert_with(Instant::now);
+        }
+        std::thread::sleep(*pause);
+    }
+    let killed_at = told_at.expect("it is told to end") + LONGEST_DEADLINE + KILL_SLACK;
+    std::thread::sleep(killed_at.saturating_duration_since(Instant::now()));
+    let status = daemon.poll_exit();
+    if status.is_none() {
+        kill_process(pid, Signal::KILL).expect("it runs");
+    }
+    Shutdown {
+        report: load.finish(),
+        status,
+        log: daemon.log(),
+    }
+}
+
+/// Each request has one final response, and the process has ended by itself before the kill.
+fn assert_nothing_is_lost(
+    plan: &SustainedLoadPlan,
+    engines: Engines,
+    signals: &[(Signal, Duration)],
+) {
+    let Shutdown {
+        report,
+        status,
+        log,
+    } = shut_down_under_load(plan, engines, signals);
+    let lost = report.lost();
+    assert!(
+        report.requests.len() > plan.connections,
+        "the load has run: {log}"
+    );
+    assert!(
+        lost.is_empty(),
+        "{} of {} requests are lost, the process ended by the kill: {}, the first lost one: {:?}\n{log}",
+        lost.len(),
+        report.requests.len(),
+        status.is_none(),
+        lost[0],
+    );
+    assert!(
+        status.is_some_and(|status| status.success()),
+        "it ended with {status:?}: {log}"
+    );
+    assert!(report.answered_twice().is_empty() && report.unexpected_responses == 0);
+}
+
+/// Twelve clients that use every connection that stays open.
+fn steady_clients(seed: u64) -> SustainedLoadPlan {
+    SustainedLoadPlan {
+        connections: 12,
+        interval: Duration::from_millis(40),
+        classes: CLASSES.to_vec(),
+        tenant: "billing-desk",
+        wait_ms: 40..=6_000,
+        seed,
+    }
+}
+
+/// Clients that are rejected so often that the daemon reads from them slowly.
+fn hasty_clients(seed: u64) -> SustainedLoadPlan {
+    SustainedLoadPlan {
+        interval: Duration::from_millis(8),
+        wait_ms: 40..=90,
+        ..steady_clients(seed)
+    }
+}
+
+#[test]
+fn a_shutdown_ends_while_clients_go_on_sending() {
+    assert_nothing_is_lost(&steady_clients(1), Engines::None, &ONE_TERM);
+}
+
+#[test]
+fn a_shutdown_ends_while_clients_go_on_and_engines_hang() {
+    assert_nothing_is_lost(&steady_clients(4), Engines::Hanging, &ONE_TERM);
+}
+
+#[test]
+fn a_shutdown_told_twice_between_reloads_loses_nothing() {
+    let series = [
+        (Signal::HUP, Duration::from_millis(2)),
+        (Signal::TERM, Duration::from_millis(3)),
+        (Signal::HUP, Duration::from_millis(1)),
+        (Signal::USR1, Duration::from_millis(300)),
+        (Signal::TERM, Duration::ZERO),
+    ];
+    assert_nothing_is_lost(&steady_clients(2), Engines::None, &series);
+}
+
+/// What a throttled client has sent waits to be parsed. At the end of the process its connection
+/// slept on until its throttle's time, and its requests were without an answer.
+#[test]
+fn a_shutdown_answers_what_throttled_clients_have_sent() {
+    assert_nothing_is_lost(&hasty_clients(3), Engines::None, &ONE_TERM);
+}
