End a shutdown at its forced end, and reject what comes meanwhile

Cause: the last phase waited for an instant without open requests, which clients that go on move without end; and a throttled connection, which is not idle, did not hear that the process ends (log: 12,648 bytes of input unread at the exit, 64 requests of 198 bytes lost). Change: requests are rejected from 0.9 s after SIGTERM on and quiet connections close; the forced end closes all; it comes 0.2 s earlier, so that 0.3 s are left before the earliest kill; what can't be served before it is rejected early; throttled connections wake up.

--- a/src/dispatcher/client_requests.rs
+++ b/src/dispatcher/client_requests.rs
@@ -1,5 +1,6 @@
 //! Requests from clients: admission to the in-flight table, and cancellation.
 use super::in_flight::InFlightRequest;
+use super::responses::RETRY_AFTER_SHUTDOWN;
 use super::termination::Termination;
 use super::timers::DEADLINE_GRACE;
 use super::{ClientRequest, Command, Dispatcher, Failure, Origin, Response};
@@ -33,6 +34,10 @@
 
     /// Whether the request may be admitted: how it may be repeated, or else its final response.
     fn check_admission(&self, request: &ClientRequest) -> Result<Idempotency, Response> {
+        // It waited in the mailbox while the others were ended. Nobody would end it.
+        if !self.admits_requests {
+            return Err(Response::Rejected(Some(RETRY_AFTER_SHUTDOWN)));
+        }
         // A second request from an origin that still waits would receive the first one's response.
         let is_waiting = self.requests_by_origin.contains_key(&request.origin);
         let Some(class) = self
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -75,6 +75,8 @@
     max_statement_bytes: usize,
     /// The id of the request that was admitted last.
     last_request_id: u32,
+    /// Requests are admitted: until [`Dispatcher::fail_all`].
+    admits_requests: bool,
     /// An empty buffer for the decision module's actions, kept for its allocation.
     actions: Vec<Action>,
     /// The decisions since they were last taken, if the audit is enabled.
@@ -102,6 +104,7 @@
             statement_bytes: 0,
             max_statement_bytes: usize::MAX,
             last_request_id: 0,
+            admits_requests: true,
             actions: Vec::new(),
             decisions: None,
             counters: Counters::default(),
@@ -178,6 +181,11 @@
         self.module.set_capacity_share(share);
     }
 
+    /// The process stops: what is open at that time will be ended by [`Dispatcher::fail_all`].
+    pub fn set_serving_until(&mut self, end: Micros) {
+        self.module.set_serving_until(nanos(end));
+    }
+
     /// Sets the number of gateways that share the warm engines, as the fleet's membership counts
     /// them.
     pub fn set_active_gateways(&mut self, gateways: u32) {
--- a/src/dispatcher/responses.rs
+++ b/src/dispatcher/responses.rs
@@ -11,7 +11,7 @@
 const MAX_FINISHED_REQUEST_IDS: usize = 4_096;
 
 /// The `Retry-After` of requests that are rejected at shutdown: another gateway can serve them.
-const RETRY_AFTER_SHUTDOWN: Micros = 50_000;
+pub(super) const RETRY_AFTER_SHUTDOWN: Micros = 50_000;
 
 impl Dispatcher {
     /// Rejects a request, with a `Retry-After` unless `retry_after` is 0. A rejection guarantees
@@ -50,8 +50,9 @@
     }
 
     /// Ends all requests, since the process is about to be killed: rejects those that another
-    /// gateway can serve, and fails the others.
+    /// gateway can serve, and fails the others. Those that arrive from now on are rejected.
     pub fn fail_all(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        self.admits_requests = false;
         let open: Vec<RequestId> = self
             .in_flight
             .iter()
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -34,9 +34,11 @@
 /// Time after its close is due for which a connection may wait to become idle for long enough; after
 /// that it is closed at its first idle moment.
 const MAX_QUIET_WAIT: Micros = 800 * MS;
-/// Time between the longest request deadline and the forced end, so that each client still receives
-/// its error before the process is killed.
-const FORCED_END_SLACK: Micros = 450 * MS;
+/// Time between the longest request deadline and the forced end. The platform kills the process 0.7 s
+/// after that deadline at the earliest, and the connections get 0.15 s to close: 0.3 s are left for a
+/// machine on which this process has to wait for a processor. Requests arrive up to 0.6 s after the
+/// request to stop; only those of the last 0.35 s that need their whole deadline end early by this.
+const FORCED_END_SLACK: Micros = 250 * MS;
 /// Upper bound on the request deadline that a stop waits for.
 const MAX_DEADLINE_WAIT: Micros = 3_000 * MS;
 /// Upper bound on the request deadline that a stop waits for where a successor serves new requests
@@ -104,7 +106,7 @@
     drained_at: Option<Micros>,
     /// When the process was asked to stop.
     stopping_at: Option<Micros>,
-    /// All requests are answered after the request to stop: the remaining connections are closed.
+    /// The remaining connections are closed.
     closing: bool,
     /// The fraction of the manager's capacity that its older processes hold.
     predecessor_share: f64,
@@ -155,8 +157,8 @@
         self.stopping_at = self.stopping_at.or(Some(now));
     }
 
-    /// All requests are answered after the request to stop: from now on no connection is kept open
-    /// and no request is accepted.
+    /// All requests are answered after the request to stop, or its forced end is due: from now on no
+    /// connection is kept open and no request is accepted.
     pub fn begin_closing(&mut self) {
         self.closing = true;
     }
@@ -255,7 +257,7 @@
 
     /// Whether idle client connections are to be closed, now or soon.
     pub fn closes_idle_connections(&self) -> bool {
-        self.is_draining() || self.successor_took_over()
+        self.is_draining() || self.is_stopping()
     }
 
     /// When connection number `conn` is to be closed, at its next idle moment; `None` if it is kept
@@ -268,16 +270,29 @@
         let by_hot_restart = self
             .took_over_at()
             .map(|at| at + offset_within(HOT_RESTART_CLOSE_SPREAD));
-        by_drain.into_iter().chain(by_hot_restart).min()
+        let by_shutdown = self.accept_linger_ends_at();
+        [by_drain, by_hot_restart, by_shutdown]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
-    /// Whether new requests on open connections are rejected at once, so that no client keeps its
-    /// connection open without end.
-    pub fn rejects_new_requests(&self, now: Micros) -> bool {
+    /// From when on new requests on open connections are rejected at once. Without that time clients
+    /// that go on sending could keep their connections, and a process that stops, open without end.
+    pub fn rejects_from(&self) -> Option<Micros> {
+        let by_closing = self.closing.then_some(0);
         let by_drain = self.drained_at.map(|at| at + DRAIN_REJECT_DELAY);
         let by_hot_restart = self.took_over_at().map(|at| at + HOT_RESTART_REJECT_DELAY);
-        let is_due = |at: Option<Micros>| at.is_some_and(|at| at <= now);
-        self.closing || is_due(by_drain) || is_due(by_hot_restart)
+        let by_shutdown = self.accept_linger_ends_at();
+        [by_closing, by_drain, by_hot_restart, by_shutdown]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Whether [`Lifecycle::rejects_from`] has passed.
+    pub fn rejects_new_requests(&self, now: Micros) -> bool {
+        self.rejects_from().is_some_and(|at| at <= now)
     }
 
     /// How long connection number `conn` has to be idle before it is closed. A client that just
@@ -306,6 +321,14 @@
             .filter(|_| self.successor == SuccessorState::Ready)
     }
 
+    /// When clients send no more by the platform's rules, if the process was asked to stop and no
+    /// successor serves. Idle connections are closed from then on.
+    fn accept_linger_ends_at(&self) -> Option<Micros> {
+        self.stopping_at
+            .filter(|_| self.successor != SuccessorState::Ready)
+            .map(|at| at + ACCEPT_LINGER)
+    }
+
     /// When the requests that are still open fail, so that their clients receive an error before the
     /// process is killed. The platform kills a process no earlier than the longest deadline, within
     /// the platform's bounds, and 0.7 s after the request to stop.
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -182,7 +182,8 @@
     /// Closes a connection that is shed or has been quiet for long enough, but for input that has
     /// arrived and is not read yet: a request in it is to be served.
     fn on_close_check(&mut self, now: Micros, plan: &WaitPlan) -> ControlFlow<Exit> {
-        if !self.close_checks.is_closed() && !plan.quiet_close_is_due(now) {
+        let may_close = self.close_checks.is_closed() || plan.quiet_close_is_due(now);
+        if !plan.idle || !may_close {
             return ControlFlow::Continue(());
         }
         self.has_unread_input = self.peek_unread_input();
--- a/src/net/client/wait.rs
+++ b/src/net/client/wait.rs
@@ -64,7 +64,7 @@
     /// Bytes wait to be written.
     pub(super) writing: bool,
     /// Nothing is open, deferred or to be written.
-    idle: bool,
+    pub(super) idle: bool,
     /// The connection waits for a valid message that is due by then.
     pub(super) message_due_at: Option<Micros>,
     /// The client counts as unresponsive from then on, unless it acts before.
@@ -96,10 +96,15 @@
         let unwritten = self.output.update_quota();
         let over_shared_limit =
             self.shared.unwritten_bytes.get() > self.shared.max_unwritten_bytes.get();
-        let closing = self.shared.lifecycle.borrow().is_closing();
+        let lifecycle = self.shared.lifecycle.borrow();
+        // Where new requests are rejected anyway, the connection has to become quiet: what is deferred
+        // is answered at once.
+        let rejects_from = lifecycle.rejects_from().unwrap_or(Micros::MAX);
+        let penalty_ends_at = self.penalty.ends_at(now).map(|at| at.min(rejects_from));
         Throttle {
-            penalty_ends_at: self.penalty.ends_at(now).filter(|_| !closing),
-            output_is_full: unwritten > MAX_UNWRITTEN_BYTES || over_shared_limit,
+            penalty_ends_at: penalty_ends_at.filter(|at| *at > now),
+            output_is_full: unwritten > MAX_UNWRITTEN_BYTES
+                || over_shared_limit && !lifecycle.is_closing(),
         }
     }
 
@@ -192,9 +197,15 @@
 
     /// Returns at once if an idle connection has been quiet for long enough, else when the
     /// connection's status asks for a check. Unread input comes first: it makes this wait forever.
+    ///
+    /// A connection that is not idle wakes up as well: what it deferred may now have to be parsed.
     async fn wait_for_close_check(&self, now: Micros, plan: &WaitPlan) -> WakeReason {
         if !plan.idle {
-            return pending().await;
+            if self.close_checks.recv().await.is_err() {
+                // It is shed once it is idle again.
+                return pending().await;
+            }
+            return WakeReason::CloseCheck;
         }
         if !plan.quiet_close_is_due(now) {
             if self.has_unread_input {
--- a/src/net/dispatcher/lifecycle_watch.rs
+++ b/src/net/dispatcher/lifecycle_watch.rs
@@ -28,9 +28,9 @@
     }
 
     /// When [`LifecycleWatch::check`] is due. Only a process with an admin endpoint can be drained or
-    /// have a successor, so others are not woken up.
+    /// have a successor, so others are not woken up until they stop.
     pub(super) fn next_check(&self, shared: &Shared) -> Option<Micros> {
-        let is_enabled = shared.admin_enabled.get();
+        let is_enabled = shared.admin_enabled.get() || shared.lifecycle.borrow().is_stopping();
         is_enabled.then_some(self.checked_at + CHECK_INTERVAL)
     }
 
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -157,9 +157,12 @@
             self.handle_event(now, event);
         }
         self.dispatcher.run_due_timers(now, &mut self.commands);
-        if schedule.forced_end_at.is_some_and(|at| at <= now) {
-            self.requests_ended = true;
-            self.dispatcher.fail_all(now, &mut self.commands);
+        if let Some(forced_end_at) = schedule.forced_end_at {
+            self.dispatcher.set_serving_until(forced_end_at);
+            if forced_end_at <= now {
+                self.requests_ended = true;
+                self.dispatcher.fail_all(now, &mut self.commands);
+            }
         }
         self.publish_metrics(now);
         if let Some(share) = self.lifecycle_watch.check(&self.shared, now) {
--- a/src/net/dispatcher/shutdown.rs
+++ b/src/net/dispatcher/shutdown.rs
@@ -1,13 +1,14 @@
 //! The phases of a shutdown.
 use super::{DispatcherActor, Schedule};
 use crate::clock::{self, MS, Micros};
+use crate::log;
 use crate::net::client;
 use async_channel::Sender;
 
 /// How long connections have for a graceful close once every request has its response.
 const GRACEFUL_CLOSE_TIMEOUT: Micros = 300 * MS;
 
-/// The same if the requests in flight had to be ended, as then the process is about to be killed.
+/// How long they have after the forced end at most, as then the process is about to be killed.
 const FORCED_CLOSE_TIMEOUT: Micros = 150 * MS;
 
 /// The time between two checks whether a shutdown can proceed.
@@ -18,7 +19,8 @@
 pub(super) enum ShutdownPhase {
     /// No shutdown, or one that waits for the responses to the requests in flight.
     Serving,
-    /// Every request has its response; listeners and client connections are being closed.
+    /// Every request has its response, or the forced end is due; listeners and client connections are
+    /// being closed.
     ClosingConnections {
         /// When the process exits at the latest.
         deadline: Micros,
@@ -46,18 +48,34 @@
         }
         let responses_delivered = self.all_responses_delivered();
         let accepts_no_more = schedule.accepts_until.is_some_and(|at| at <= now);
-        if is_serving && accepts_no_more && responses_delivered && !self.keeps_client_connections()
-        {
-            self.begin_closing(now);
+        let is_complete =
+            accepts_no_more && responses_delivered && !self.keeps_client_connections();
+        // The forced end does not wait for a moment without open requests: there may never be one.
+        if is_serving && (is_complete || self.requests_ended) {
+            self.begin_closing(now, schedule.forced_end_at);
         }
         if let ShutdownPhase::ClosingConnections { deadline } = self.shutdown_phase {
             let all_closed = responses_delivered && self.all_connections_closed();
             if all_closed || deadline <= now {
+                self.log_unfinished_close(all_closed);
                 self.shutdown_phase = ShutdownPhase::Finished;
             }
         }
     }
 
+    /// Says what is left if the time to close the connections is over.
+    fn log_unfinished_close(&self, all_closed: bool) {
+        if all_closed {
+            return;
+        }
+        log!(
+            "ending with {} client connections open, {} bytes of their input unread, {} with unwritten responses",
+            self.shared.client_sockets.get(),
+            self.shared.unread_bytes.get(),
+            self.shared.connections_with_unwritten_output.get()
+        );
+    }
+
     /// Whether no request waits for its response, and no response waits in a client's mailbox or
     /// output buffer: the process must not exit with a response that was given but not written.
     fn all_responses_delivered(&self) -> bool {
@@ -77,17 +95,14 @@
 
     /// Closes the listeners and all client connections. Requests that are still in the listeners'
     /// queues and the sockets' buffers are rejected, or their connections closed gracefully.
-    fn begin_closing(&mut self, now: Micros) {
+    fn begin_closing(&mut self, now: Micros, forced_end_at: Option<Micros>) {
         self.shared.lifecycle.borrow_mut().begin_closing();
         self.shared.stop_accepting();
         client::begin_shutdown(&self.shared);
-        let timeout = if self.requests_ended {
-            FORCED_CLOSE_TIMEOUT
-        } else {
-            GRACEFUL_CLOSE_TIMEOUT
-        };
+        let graceful = now + GRACEFUL_CLOSE_TIMEOUT;
+        let forced = forced_end_at.map_or(graceful, |at| at.max(now) + FORCED_CLOSE_TIMEOUT);
         self.shutdown_phase = ShutdownPhase::ClosingConnections {
-            deadline: now + timeout,
+            deadline: graceful.min(forced),
         };
     }
 
--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -97,7 +97,7 @@
     }
 
     /// Ranks the queued requests anew, and rejects those that the work ahead of them leaves no
-    /// time.
+    /// time. While this process stops, those too for which it has no engine: others may have one.
     pub(super) fn review_queue(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         for entry in self.queue.take() {
             self.enqueue(now, entry.id);
@@ -116,8 +116,9 @@
             let wait = wait_for(work_ahead);
             let done_at = now + nanos(wait + self.unloaded_seconds(request));
             let is_too_late = rate > 0.0 && done_at > self.useful_until(request);
-            let is_past_deadline = now + deadline_margin >= request.deadline();
-            if is_too_late || is_past_deadline || !request.may_start_attempt() {
+            let is_past_deadline = now + deadline_margin >= self.latest_end(request);
+            let is_hopeless = rate <= 0.0 && self.is_stopping();
+            if is_too_late || is_past_deadline || is_hopeless || !request.may_start_attempt() {
                 let retry_after = nanos(wait.max(MIN_RETRY_AFTER_SECONDS));
                 self.reject_or_fail(entry.id, retry_after, actions);
             } else {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -94,6 +94,8 @@
     /// Part of this gateway's capacity that this process may use, while another process stands
     /// for the same gateway.
     capacity_share: f64,
+    /// When this process ends what is still open; [`Nanos::MAX`] unless it stops.
+    serving_until: Nanos,
     /// When the control law was last applied.
     limits_updated_at: Nanos,
     last_event_at: Nanos,
@@ -123,6 +125,7 @@
             load_reports: LoadReports::new(),
             active_gateways: f64::from(settings.gateways.max(1)),
             capacity_share: 1.0,
+            serving_until: Nanos::MAX,
             limits_updated_at: now,
             last_event_at: now,
             resumed_at: 0,
@@ -205,6 +208,12 @@
             .count()
     }
 
+    /// This process stops: it ends what is still open at that time. Requests that it can't serve by
+    /// then are rejected early, so that their clients can still try elsewhere.
+    pub fn set_serving_until(&mut self, end: Nanos) {
+        self.serving_until = end;
+    }
+
     /// Sets the part of this gateway's capacity that this process may use, while another process
     /// stands for the same gateway.
     pub fn set_capacity_share(&mut self, capacity_share: f64) {
--- a/src/policy/request_estimates.rs
+++ b/src/policy/request_estimates.rs
@@ -40,18 +40,35 @@
         self.expected_work(request) / self.query_threads(request)
     }
 
+    /// The time after which no answer can be given: the deadline, or the end of this process if that
+    /// is earlier.
+    pub(super) fn latest_end(&self, request: &PendingRequest) -> Nanos {
+        request.deadline().min(self.serving_until)
+    }
+
+    /// Whether this process ends too early to serve the request, where its client would still wait.
+    pub(super) fn outlives_process(&self, now: Nanos, request: &PendingRequest) -> bool {
+        let earliest_end = now + nanos(self.unloaded_seconds(request));
+        self.serving_until < request.deadline() && earliest_end > self.serving_until
+    }
+
+    /// Whether this process stops.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.serving_until != Nanos::MAX
+    }
+
     /// End of the latency objective, or the deadline if that is earlier.
     pub(super) fn objective_end(&self, request: &PendingRequest) -> Nanos {
         let objective = latency_objective(self.class(request), self.expected_work(request));
         let end = request.arrived_at + nanos(objective);
-        end.min(request.deadline())
+        end.min(self.latest_end(request))
     }
 
-    /// The time after which an answer earns nothing: the deadline, or the end of the objective
+    /// The time after which an answer earns nothing: the latest end, or the end of the objective
     /// where late answers have no weight.
     pub(super) fn useful_until(&self, request: &PendingRequest) -> Nanos {
         if self.class(request).late_priority_weight > 0.0 {
-            request.deadline()
+            self.latest_end(request)
         } else {
             self.objective_end(request)
         }
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -34,7 +34,12 @@
         }
         self.cancel_budget.record_request();
         self.record_arrival(&pending);
+        let outlives_process = self.outlives_process(now, &pending);
         self.requests.insert(id, pending);
+        if outlives_process {
+            self.reject_or_fail(id, SWEEP_INTERVAL, actions);
+            return;
+        }
         self.probe_candidates(now, id, actions);
         match self.select_engine(now, id) {
             Some(engine) => self.send(now, id, engine, actions),
@@ -158,7 +163,7 @@
         if !request.attempts.is_empty() {
             return;
         }
-        let has_time = now + nanos(self.unloaded_seconds(request)) < request.deadline();
+        let has_time = now + nanos(self.unloaded_seconds(request)) < self.latest_end(request);
         if has_time && self.idempotency_allows(now, request, None) && request.may_start_attempt() {
             self.enqueue(now, id);
         } else {
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -138,3 +138,33 @@
     let distinct: BTreeSet<Nanos> = busy.iter().copied().collect();
     assert!(distinct.len() > 20, "spread: {distinct:?}");
 }
+
+/// Guards clients of a process that stops: what it can't serve by its end is rejected early, while
+/// another gateway can still serve it.
+#[test]
+fn a_gateway_that_stops_rejects_early_what_it_cannot_serve() {
+    let mut gateway = GatewayHarness::new(test_settings(), warm_endpoints(1..=1));
+    let end = gateway.now + 3 * SECOND;
+    gateway.gateway.set_serving_until(end);
+
+    let short = gateway.submit(1, SHORT, 6 * SECOND, 100 * MILLISECOND);
+    assert_eq!(attempts_started(&short).len(), 1);
+    // A load of 20 s on two threads ends after the process, and could not be rejected by then.
+    let load = gateway.submit(2, LOAD, 60 * SECOND, 20 * SECOND);
+    assert!(attempts_started(&load).is_empty());
+    assert_eq!(final_responses(&load), [(2, FinalResponse::Rejected)]);
+}
+
+/// Without an engine the requests of a process that stops are rejected at its next sweep; of another
+/// one they wait.
+#[test]
+fn a_gateway_that_stops_without_engines_rejects_what_is_queued() {
+    let mut gateway = GatewayHarness::new(test_settings(), Vec::new());
+    assert!(final_responses(&gateway.submit(1, SHORT, 6 * SECOND, SECOND)).is_empty());
+    assert!(final_responses(&gateway.advance(SECOND)).is_empty());
+
+    let end = gateway.now + 3 * SECOND;
+    gateway.gateway.set_serving_until(end);
+    let actions = gateway.advance(2 * SWEEP_INTERVAL);
+    assert_eq!(final_responses(&actions), [(1, FinalResponse::Rejected)]);
+}
--- a/tests/unit/dispatcher.rs
+++ b/tests/unit/dispatcher.rs
@@ -288,3 +288,31 @@
         ]
     );
 }
+
+/// Guards a client whose request was on its way to the dispatcher at the forced end: nobody would end
+/// it any more.
+#[test]
+fn a_request_that_arrives_after_the_forced_end_is_rejected_at_once() {
+    let mut dispatcher = dispatcher_with_keyed_loads(20 * SEC);
+    let mut commands = Vec::new();
+    dispatcher.fail_all(SEC, &mut commands);
+
+    let late = ClientRequest {
+        origin: Origin { conn: 1, tag: 9 },
+        client_request_id: "0000000000000009".into(),
+        class: ClassId(0),
+        deadline: LOAD_DEADLINE,
+        ..ClientRequest::default()
+    };
+    dispatcher.handle_request(SEC, late, &mut commands);
+
+    assert!(
+        matches!(
+            &commands[..],
+            [Command::Respond { origin: Origin { tag: 9, .. }, response: Response::Rejected(Some(after)) }]
+                if *after == 50 * MS
+        ),
+        "only the rejection"
+    );
+    assert_eq!(dispatcher.counters.open(), 0);
+}
--- a/tests/unit/net_client.rs
+++ b/tests/unit/net_client.rs
@@ -504,3 +504,25 @@
     drop(clients);
     fixture.run_until(|| shared.closing_sockets.get() == 0);
 }
+
+/// Guards a throttled client's requests at the end of the process: its connection slept until the end
+/// of its penalty, which was after the exit, and what it had sent got no answer.
+#[test]
+fn the_deferred_input_of_a_throttled_client_is_answered_at_the_shutdown() {
+    let fixture = Fixture::connected();
+    fixture.open_request(1);
+    fixture.throttle();
+    fixture.write(&[request_line(2), request_line(3)].concat());
+    let deferred = || fixture.shared.unread_bytes.get() > 0;
+    fixture.run_until(deferred);
+    assert_eq!(count_requests(&fixture.events), 0);
+
+    fixture.shut_down();
+    fixture.respond(1, Response::Rejected(None));
+
+    let text = fixture.read_to_end();
+    for id in 1..=3 {
+        let response = format!("\"id\":{id},");
+        assert!(text.contains(&response), "{id}: {text}");
+    }
+}
