Keep other managers out of a client address, and hand out held ports alone

Symptom: now and then a member's dispatch was missing from the audit's report, with none lost. Cause: the test kit gave out ports that it did not hold, and the daemon binds its clients' address with SO_REUSEPORT: two members got one port, and the system shared their clients out. With the port forced on members 0 and 2 the test fails with the same symptom. Change: a process publishes a claim on its address, binds alone first, and ends its start with one line where another manager holds it; an older process of its own, and one without a claim, are shared with as before, with a line in the log.

--- a/src/net/client/listener.rs
+++ b/src/net/client/listener.rs
@@ -52,6 +52,14 @@
     Ok(listener)
 }
 
+/// Permits processes of the same user to bind this listener's address too, by [`bind_shared`].
+///
+/// # Errors
+/// Those of the system.
+pub fn permit_sharing(listener: &Async<TcpListener>) -> io::Result<()> {
+    Ok(sockopt::set_socket_reuseport(listener, true)?)
+}
+
 /// Accepts connections until the process is about to exit; `new_frontend` makes the protocol of
 /// each from the connection's number.
 pub async fn listen<F: Frontend + 'static>(
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -10,7 +10,7 @@
 mod wait;
 
 pub use connection_registry::{ConnectionStatus, begin_shutdown, close_idle_connections};
-pub use listener::{bind, bind_shared, listen};
+pub use listener::{bind, bind_shared, listen, permit_sharing};
 
 use super::dispatcher::DispatcherEvent;
 use super::{ByteQuota, CountGuard, Shared};
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! Each peer (a client connection, an engine, the coordinator) has an actor with a bounded mailbox,
 //! and so have the endpoint list, the fleet's membership and the dispatcher. All actors run on one
 //! thread and share a [`Shared`] state, so no access to it needs a lock.
+pub mod address_claim;
 pub mod admin;
 pub mod audit;
 pub mod client;
--- a/src/startup/error.rs
+++ b/src/startup/error.rs
@@ -62,6 +62,20 @@
         /// Why not.
         source: io::Error,
     },
+    /// Another manager listens at a frontend's address.
+    #[error(
+        "{name}: {address} is the address of another manager, {holder} (process {process}): a copied configuration?"
+    )]
+    AddressHeld {
+        /// The manager's name.
+        name: String,
+        /// The address.
+        address: SocketAddr,
+        /// The other manager's name, shortened.
+        holder: String,
+        /// Its process.
+        process: u32,
+    },
     /// The admin endpoint's address can't be bound.
     #[error("{name}: can't listen on the console {address}: {source}")]
     ListenAdmin {
--- a/src/startup/mod.rs
+++ b/src/startup/mod.rs
@@ -5,6 +5,7 @@
 mod error;
 mod files;
 mod hot_restart;
+mod listen_address;
 mod signals;
 mod sockets;
 
@@ -80,6 +81,7 @@
     publish_configuration(&shared, config);
     let audit = start_audit(&shared, &files, incarnation)?;
     let sockets = Sockets::open(&files)?;
+    let _claims = sockets.claims;
     let signals = signals::subscribe()?;
     let clickhouse = files
         .clickhouse
--- a/src/startup/sockets.rs
+++ b/src/startup/sockets.rs
@@ -1,8 +1,11 @@
 //! The sockets that the daemon opens at its start. Those that a predecessor transfers are adopted.
 use super::StartError;
 use super::files::ConfigurationFiles;
+use super::listen_address::{self, Sharing};
 use crate::config::fleet::FleetConfig;
 use crate::config::process::Config;
+use crate::log;
+use crate::net::address_claim::{AddressClaim, ManagerIdentity};
 use crate::net::client;
 use crate::net::fleet::membership;
 use crate::net::hot_restart::{self, TransferredState};
@@ -23,6 +26,8 @@
     /// The admin endpoint's listener, if there is one.
     pub(super) admin: Option<Async<TcpListener>>,
     pub(super) hot_restart: HotRestartSockets,
+    /// Tell other managers that the clients' addresses are this one's, for as long as they are kept.
+    pub(super) claims: Vec<AddressClaim>,
 }
 
 /// The fleet's datagram socket.
@@ -58,11 +63,12 @@
             .as_ref()
             .map(|fleet| FleetSocket::open(fleet, config, transferred.is_some()))
             .transpose()?;
-        let clients = listen(config, config.listen, &mut transferred)?;
-        let clickhouse = files
-            .clickhouse
-            .as_ref()
-            .map(|file| listen(config, file.config.listen, &mut transferred))
+        let identity = ManagerIdentity::new(&config.name, state_folder().as_deref());
+        let clickhouse_address = files.clickhouse.as_ref().map(|file| file.config.listen);
+        let claims = claim_addresses(&identity, config.listen, clickhouse_address);
+        let clients = listen(config, config.listen, &identity, &mut transferred)?;
+        let clickhouse = clickhouse_address
+            .map(|address| listen(config, address, &identity, &mut transferred))
             .transpose()?;
         let listeners = std::iter::once(&clients)
             .chain(&clickhouse)
@@ -83,6 +89,7 @@
                 transferred,
                 listeners,
             },
+            claims,
         })
     }
 }
@@ -107,26 +114,51 @@
     }
 }
 
-/// The predecessor's listener at this address, or a new one. With an admin endpoint a successor may
-/// bind the address too.
+/// The folder whose files outlive the process.
+fn state_folder() -> Option<PathBuf> {
+    std::env::var_os("TMPDIR").map(PathBuf::from)
+}
+
+/// Publishes the claims before anything is bound: of two managers that start at once, the one that
+/// finds the address in use sees the other one's.
+fn claim_addresses(
+    identity: &ManagerIdentity,
+    clients: SocketAddr,
+    clickhouse: Option<SocketAddr>,
+) -> Vec<AddressClaim> {
+    let mut claims = Vec::new();
+    for address in std::iter::once(clients).chain(clickhouse) {
+        match AddressClaim::publish(address, identity) {
+            Ok(claim) => claims.push(claim),
+            Err(error) => log!("{address} can't be claimed, other managers may share it: {error}"),
+        }
+    }
+    claims
+}
+
+/// The predecessor's listener at this address, or a new one. With an admin endpoint another process of
+/// the manager may bind the address too.
 fn listen(
     config: &Config,
     address: SocketAddr,
+    identity: &ManagerIdentity,
     transferred: &mut Option<TransferredState>,
 ) -> Result<Async<TcpListener>, StartError> {
     let from_predecessor = transferred
         .as_mut()
         .and_then(|transferred| transferred.listeners.remove(&address));
-    let listener = match from_predecessor {
-        Some(listener) => Async::new(listener),
-        None if config.admin_address.is_some() => client::bind_shared(address),
-        None => client::bind(address),
+    let sharing = match config.admin_address {
+        Some(_) => Sharing::WithSameManager,
+        None => Sharing::Never,
     };
-    listener.map_err(|source| StartError::Listen {
-        name: config.name.clone(),
-        address,
-        source,
-    })
+    match from_predecessor {
+        Some(listener) => Async::new(listener).map_err(|source| StartError::Listen {
+            name: config.name.clone(),
+            address,
+            source,
+        }),
+        None => listen_address::bind(address, identity, &config.name, sharing),
+    }
 }
 
 fn listen_admin(config: &Config, address: SocketAddr) -> Result<Async<TcpListener>, StartError> {
--- a/src/testkit/daemon/mod.rs
+++ b/src/testkit/daemon/mod.rs
@@ -7,12 +7,13 @@
 pub use error::DaemonError;
 pub use folder::Folder;
 
+use super::ports::reserve_addr;
 use super::{clients, eventually, pause};
 use config::{class_like, config_with, set_classes};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -26,12 +27,6 @@
 /// The words by which a line with the daemon's counters is known.
 const COUNTERS_MARK: &str = " taken ";
 
-/// A port that is free now.
-pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free loopback port");
-    listener.local_addr().expect("the port's address")
-}
-
 /// How the daemon is started.
 #[derive(Clone, Debug)]
 pub struct DaemonOptions {
@@ -80,7 +75,7 @@
     /// It can't be started, or does not become ready in time.
     pub async fn start(program: &Path, options: DaemonOptions) -> Result<Daemon, DaemonError> {
         let folder = Folder::new()?;
-        let listen = free_addr();
+        let listen = reserve_addr();
         let text = config_with(
             listen,
             options.coordinator,
@@ -89,7 +84,7 @@
             &options.settings,
         );
         let config_path = folder.put(CONFIG_FILE, &text.to_string())?;
-        let console = options.has_admin_endpoint.then(free_addr);
+        let console = options.has_admin_endpoint.then(reserve_addr);
         let mut command = command(program, &folder, listen, console);
         command.env("PROXY_CONFIG", config_path);
         if let Some(deploy_file) = &options.deploy_file {
@@ -136,7 +131,7 @@
     ///
     /// It can't be started.
     pub fn launch(&mut self, program: &Path) -> Result<(), DaemonError> {
-        let console = Some(free_addr());
+        let console = Some(reserve_addr());
         let mut command = command(program, &self.folder, self.listen, console);
         command.env("PROXY_CONFIG", self.folder.path(CONFIG_FILE));
         let log_path = self.folder.path(&log_file(self.starts));
--- a/src/testkit/fleet/mod.rs
+++ b/src/testkit/fleet/mod.rs
@@ -3,15 +3,16 @@
 mod stand_ins;
 
 use super::clients::{self, ClientOutcome};
-use super::daemon::{self, Folder, free_addr};
+use super::daemon::{self, Folder};
 use super::fault_proxy::FaultProxy;
+use super::ports::reserve_addr;
 use async_io::block_on;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use stand_ins::StandInThread;
 pub use stand_ins::{ENGINES, StandIns};
 use std::fs::File;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -31,10 +32,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// The interval between polls of a manager that starts.
 const START_POLL: Duration = Duration::from_millis(20);
-/// A manager that could not listen on its ports ends within this time.
-const EARLY_EXIT: Duration = Duration::from_millis(300);
-/// How often managers that ended at their start are restarted on other ports.
-const START_RETRIES: usize = 3;
 /// How long [`eventually`] waits, which includes a slow machine.
 const EVENTUALLY_TIMEOUT: Duration = Duration::from_secs(60);
 /// The interval between polls of [`eventually`].
@@ -102,11 +99,6 @@
     pub folder: Folder,
 }
 
-fn free_udp_addr() -> SocketAddr {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("a free port");
-    socket.local_addr().expect("a bound socket has an address")
-}
-
 impl Fleet {
     /// Starts the stand-ins and all managers, and waits until each is ready.
     pub fn start(program: &Path, tag: &str, seed: u64) -> Fleet {
@@ -115,7 +107,7 @@
 
     /// Starts a fleet with options.
     pub fn start_with(program: &Path, tag: &str, seed: u64, options: Options) -> Fleet {
-        let member_addrs: Vec<SocketAddr> = (0..MEMBERS).map(|_| free_udp_addr()).collect();
+        let member_addrs: Vec<SocketAddr> = (0..MEMBERS).map(|_| reserve_addr()).collect();
         let fault_proxy = FaultProxy::start(member_addrs.clone(), seed).expect("free ports");
         let mut fleet = Fleet {
             program: program.to_owned(),
@@ -123,8 +115,8 @@
             options,
             fault_proxy,
             member_addrs,
-            admin_addrs: (0..MEMBERS).map(|_| free_addr()).collect(),
-            client_addrs: (0..MEMBERS).map(|_| free_addr()).collect(),
+            admin_addrs: (0..MEMBERS).map(|_| reserve_addr()).collect(),
+            client_addrs: (0..MEMBERS).map(|_| reserve_addr()).collect(),
             stand_ins: StandInThread::start(MEMBERS),
             processes: (0..MEMBERS).map(|_| None).collect(),
             folder: Folder::new().expect("a temporary directory"),
@@ -132,47 +124,25 @@
         for member in 0..MEMBERS {
             fleet.launch(member, SHARES);
         }
-        fleet.restart_early_exits();
-        fleet
-    }
-
-    /// Waits until all managers are ready. A port that was free when it was chosen may be taken by
-    /// another test when its manager binds it: that manager is restarted on other ports.
-    fn restart_early_exits(&mut self) {
-        for _ in 0..START_RETRIES {
-            let exited: Vec<usize> = (0..MEMBERS)
-                .filter(|member| self.exits_at_start(*member))
-                .collect();
-            if exited.is_empty() {
-                return;
-            }
-            for member in exited {
-                self.member_addrs[member] = free_udp_addr();
-                self.admin_addrs[member] = free_addr();
-                self.fault_proxy
-                    .set_member_addr(member, self.member_addrs[member]);
-                self.launch(member, SHARES);
-            }
+        for member in 0..MEMBERS {
+            fleet.wait_for_start(member);
         }
+        fleet
     }
 
-    /// Waits until a manager is ready. Returns whether it ended instead.
-    fn exits_at_start(&mut self, member: usize) -> bool {
+    /// Waits until a manager is ready.
+    fn wait_for_start(&mut self, member: usize) {
         let deadline = Instant::now() + START_TIMEOUT;
-        while Instant::now() < deadline {
-            let ready = self.readiness_status(member) == Some(200);
-            // The answer may be from the process of another test on the same port.
-            std::thread::sleep(if ready { EARLY_EXIT } else { START_POLL });
+        while Instant::now() < deadline && self.readiness_status(member) != Some(200) {
             let process = self.processes[member].as_mut().expect("it was launched");
-            if process.try_wait().ok().flatten().is_some() {
-                eprintln!("member {member} ended at its start: {}", self.log(member));
-                return true;
-            }
-            if ready {
-                return false;
-            }
+            let ended = process.try_wait().ok().flatten();
+            assert!(
+                ended.is_none(),
+                "member {member} ended at its start: {}",
+                self.log(member)
+            );
+            std::thread::sleep(START_POLL);
         }
-        false
     }
 
     /// The name of a manager.
@@ -217,7 +187,7 @@
 
     /// Starts a manager, or restarts one that has ended, on a new address for clients.
     pub fn launch(&mut self, member: usize, shares: TenantShares) {
-        self.client_addrs[member] = free_addr();
+        self.client_addrs[member] = reserve_addr();
         self.write_configuration(member, shares);
         self.processes[member] = Some(self.spawn(member));
     }
@@ -225,7 +195,7 @@
     /// Starts the next version of a manager beside the running process, for a hot restart. Returns
     /// the older process, which the caller has to end.
     pub fn start_successor(&mut self, member: usize) -> Option<Child> {
-        self.admin_addrs[member] = free_addr();
+        self.admin_addrs[member] = reserve_addr();
         let successor = self.spawn(member);
         self.processes[member].replace(successor)
     }
--- a/src/testkit/mod.rs
+++ b/src/testkit/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod membership_simulation;
 pub mod plot;
+pub mod ports;
 pub mod probe_simulation;
 pub mod scale;
 pub mod scenario;
--- a/src/testkit/scenario/deployment.rs
+++ b/src/testkit/scenario/deployment.rs
@@ -4,7 +4,7 @@
 use crate::clock::micros;
 use crate::policy::api::Readiness;
 use crate::testkit::coordinator;
-use crate::testkit::daemon::{Daemon, DaemonError, DaemonOptions, KINDS, ZONES, free_addr};
+use crate::testkit::daemon::{Daemon, DaemonError, DaemonOptions, KINDS, ZONES};
 use crate::testkit::directory::Directory;
 use crate::testkit::engines::{Engine, EngineOptions, EngineProtocol};
 use crate::testkit::execution_log::ExecutionLimits;
@@ -12,8 +12,6 @@
 use std::fmt::Write as _;
 use std::net::TcpListener;
 
-/// How often the daemon is started until it has the ports that were free.
-const MAX_STARTS: usize = 5;
 /// The tenant of a user without one.
 const NO_TENANT: &str = "-";
 
@@ -198,15 +196,12 @@
         })
     }
 
-    /// The system chooses the port: one that was free before may be another test's now.
     fn occupy_port(&mut self) -> Result<(), StepError> {
-        let listener = TcpListener::bind((self.http_addr.ip(), 0)).map_err(StepError::Occupy)?;
-        self.http_addr = listener.local_addr().map_err(StepError::Occupy)?;
+        let listener = TcpListener::bind(self.http_addr).map_err(StepError::Occupy)?;
         self.occupied_port = Some(listener);
         Ok(())
     }
 
-    /// Starts the daemon, again if a port that was free was taken before the daemon had it.
     async fn start(&mut self) -> Result<(), StepError> {
         self.log.set_limits(execution_limits(&self.settings));
         let names: Vec<String> = self.engines.keys().cloned().collect();
@@ -215,20 +210,7 @@
             endpoints.push(self.listed_endpoint(name, Readiness::Ready)?);
         }
         let known = coordinator::known(&endpoints, &ZONES, &KINDS);
-        for _ in 1..MAX_STARTS {
-            match self.start_daemon(&known).await {
-                Err(DaemonError::NotReady { log }) if log.contains("Address already in use") => {
-                    self.http_addr = free_addr();
-                }
-                started => return self.set_daemon(started),
-            }
-        }
-        let started = self.start_daemon(&known).await;
-        self.set_daemon(started)
-    }
-
-    fn set_daemon(&mut self, started: Result<Daemon, DaemonError>) -> Result<(), StepError> {
-        self.daemon = Some(started?);
+        self.daemon = Some(self.start_daemon(&known).await?);
         Ok(())
     }
 
--- a/src/testkit/scenario/mod.rs
+++ b/src/testkit/scenario/mod.rs
@@ -82,9 +82,10 @@
 
 use super::clients::{self, PersistentClient};
 use super::coordinator::Coordinator;
-use super::daemon::{Daemon, free_addr, settings};
+use super::daemon::{Daemon, settings};
 use super::directory::Directory;
 use super::engines::Engine;
+use super::ports::reserve_addr;
 use super::{ExecutionLog, Executor, in_time, pause};
 use async_executor::{LocalExecutor, Task};
 use checks::CheckStep;
@@ -232,7 +233,7 @@
         daemon: None,
         max_sockets: DEFAULT_MAX_SOCKETS,
         has_admin_endpoint: false,
-        http_addr: free_addr(),
+        http_addr: reserve_addr(),
         occupied_port: None,
         queries: BTreeMap::new(),
         persistent: BTreeMap::new(),
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::process::{Command, Output};
 use yokelift::testkit::daemon::{self, Folder};
+use yokelift::testkit::ports;
 use yokelift::testkit::scenario;
 
 /// Plays a scenario, and fails with each of its steps that did not turn out as written.
@@ -86,7 +87,12 @@
 fn run_with_admin_address(admin_address: &str) -> Output {
     let folder = Folder::new().expect("a folder");
     let known_events = json!({"index": 0, "updates": []});
-    let config = daemon::config(daemon::free_addr(), daemon::free_addr(), &known_events, 64);
+    let config = daemon::config(
+        ports::reserve_addr(),
+        ports::reserve_addr(),
+        &known_events,
+        64,
+    );
     let config_path = folder
         .put("config.json", &config.to_string())
         .expect("a file");
--- a/tests/scale_fleet.rs
+++ b/tests/scale_fleet.rs
@@ -3,7 +3,7 @@
 //! bounds only, no speeds.
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -11,8 +11,9 @@
 use yokelift::config::fleet::FleetConfig;
 use yokelift::lease::LeaseTiming;
 use yokelift::membership::Timing;
-use yokelift::testkit::daemon::{self, Folder, KINDS, ZONES, free_addr};
+use yokelift::testkit::daemon::{self, Folder, KINDS, ZONES};
 use yokelift::testkit::fleet::eventually;
+use yokelift::testkit::ports::reserve_addr;
 use yokelift::testkit::scale::capacity_check::FleetRequirements;
 use yokelift::testkit::scale::events::Run;
 use yokelift::testkit::scale::figures::{DatagramBalance, Figures};
@@ -136,7 +137,7 @@
     seed: SocketAddr,
 ) -> RunningDaemon {
     let known_events = coordinator::known(&[], &ZONES, &KINDS);
-    let config = daemon::config(free_addr(), free_addr(), &known_events, 256);
+    let config = daemon::config(reserve_addr(), reserve_addr(), &known_events, 256);
     let fleet = format!(
         "bind = \"{address}\"\nseeds = [\"{seed}\"]\n[timing]\nperiod_ms = {PERIOD_MS}\nprobe_ms = 40\n"
     );
@@ -167,16 +168,13 @@
 /// Guards what the figures stand for: hollow nodes speak the daemon's protocol.
 #[test]
 fn hollow_nodes_and_a_real_daemon_are_members_to_each_other() {
-    // On a network of its own, so that no other test gets the port.
-    let daemon_address = UdpSocket::bind("127.65.0.1:0")
-        .and_then(|socket| socket.local_addr())
-        .expect("a port");
+    let daemon_address = reserve_addr();
     let mut fleet = new_fleet(Plan {
         greet: vec![daemon_address],
         ..plan()
     });
     let folder = Folder::new().expect("a folder");
-    let admin_address = free_addr();
+    let admin_address = reserve_addr();
     let _daemon = start_daemon(&folder, daemon_address, admin_address, fleet.addresses[0]);
 
     fleet.watch(Condition::OthersAlive(NODES));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,6 +2,7 @@
 use std::path::Path;
 use std::process::Command;
 use yokelift::testkit::daemon::{self, Folder};
+use yokelift::testkit::ports;
 use yokelift::testkit::scenario;
 
 /// Plays a scenario, and fails with each of its steps that did not turn out as written.
@@ -80,13 +81,17 @@
     );
 }
 
-/// Guards the verdicts of all scenarios: a port that was free may be occupied before the daemon binds
-/// it.
+/// Guards operators: where another program has the port of a frontend, the start ends with one line
+/// that names the address.
 #[test]
-fn the_test_kit_recovers_from_an_occupied_port() {
-    play(
-        "user anna secret billing-desk\nengine one platform\noccupy\nstart\nask a http anna secret 9 SELECT 1\n\
-        expect a served\nterm\nended\ncounter served 1\ncounter open 0",
+fn an_occupied_port_of_a_frontend_fails_the_start() {
+    let text = "user anna secret billing-desk\nengine one platform\noccupy\nstart";
+    let daemon = Path::new(env!("CARGO_BIN_EXE_yokelift"));
+    let failures = scenario::play(daemon, text, &mut |_| {}).expect_err("the start fails");
+    let failures = failures.join("\n");
+    assert!(
+        failures.contains("can't listen on 127.") && failures.contains("Address already in use"),
+        "{failures}"
     );
 }
 
@@ -401,7 +406,12 @@
 fn an_invalid_configuration_fails_with_one_line() {
     let folder = Folder::new().expect("a folder");
     let known_events = serde_json::json!({"index": 1, "updates": []});
-    let valid = daemon::config(daemon::free_addr(), daemon::free_addr(), &known_events, 64);
+    let valid = daemon::config(
+        ports::reserve_addr(),
+        ports::reserve_addr(),
+        &known_events,
+        64,
+    );
     let without = |key: &str| {
         let mut config = valid.clone();
         config.as_object_mut().expect("an object").remove(key);
