Answer a throttled client when memory is short, and contain every actor's panic

Symptom: a throttled client's next bytes panicked its connection's actor ('range start index 4284 out of range for slice of length 148'); its entry stayed for ever, and what had waited to be parsed got no answer. Cause: the deferred input was dropped at the memory limit, the offset of its search stayed. Change: bytes and offset change together; waiting requests are rejected, not dropped; one error line; actors' panics are contained, settled, counted (app.actor_panics) and logged. See docs/incidents/crashed-connection.md.

--- a/src/dispatcher/metrics.rs
+++ b/src/dispatcher/metrics.rs
@@ -34,6 +34,8 @@
     pub reload_success: u64,
     /// Configurations that were not valid.
     pub reload_failure: u64,
+    /// Actors that ended by a panic.
+    pub actor_panics: u64,
 }
 
 /// Counters of the dispatcher, the same for every frontend and every kind of engine.
--- a/src/dispatcher/recording.rs
+++ b/src/dispatcher/recording.rs
@@ -99,6 +99,8 @@
             targets_disabled: self.module.unavailable_engines() as u64,
             reload_success: self.counters.reloads,
             reload_failure: self.counters.reload_failures,
+            // Counted outside of the dispatcher.
+            actor_panics: 0,
         }
     }
 }
--- a/src/frontend/admin/metrics.rs
+++ b/src/frontend/admin/metrics.rs
@@ -52,6 +52,7 @@
         ("targets_disabled", snapshot.targets_disabled, Kind::Gauge),
         ("reload_success", snapshot.reload_success, Kind::Counter),
         ("reload_failure", snapshot.reload_failure, Kind::Counter),
+        ("actor_panics", snapshot.actor_panics, Kind::Counter),
     ]
     .map(|(name, value, kind)| format!("app.{name}:{value}|{kind}\n"))
     .concat()
--- a/src/frontend/clickhouse/mod.rs
+++ b/src/frontend/clickhouse/mod.rs
@@ -381,11 +381,16 @@
     }
 
     fn stop_reading(&mut self, reason: DisconnectReason, output: &mut Vec<u8>) {
-        // Requests behind an open query are dropped; the connection ends after its response.
-        if let State::Open(query) = &mut self.state {
-            query.framing.keep_alive = false;
-            self.input.discard_message();
-            return;
+        match &mut self.state {
+            // Requests behind an open query are dropped; the connection ends after its response.
+            State::Open(query) => {
+                query.framing.keep_alive = false;
+                self.input.discard_message();
+                return;
+            }
+            // The client has its error already.
+            State::Closing => return self.input.discard_message(),
+            State::Head | State::Body(_) => {}
         }
         let error = match reason {
             DisconnectReason::MessageTimeout => QueryError::Incomplete,
--- a/src/frontend/jsonrpc/mod.rs
+++ b/src/frontend/jsonrpc/mod.rs
@@ -329,6 +329,10 @@
 
     fn stop_reading(&mut self, reason: DisconnectReason, output: &mut Vec<u8>) {
         self.input.discard_message();
+        // The client has its error already.
+        if self.closing {
+            return;
+        }
         let cause = match reason {
             DisconnectReason::MessageTimeout => MessageError::Incomplete,
             DisconnectReason::OutOfMemory => MessageError::OutOfMemory,
--- a/src/net/client/buffers.rs
+++ b/src/net/client/buffers.rs
@@ -1,4 +1,5 @@
 //! The buffers of a client connection, counted against the process-wide memory limits.
+use crate::frontend::{Frontend, FrontendEvent};
 use crate::net::ByteQuota;
 
 /// The capacity that the buffers of an idle connection keep, in bytes.
@@ -51,19 +52,47 @@
 /// Input that was received while the client is throttled, or while it does not read its responses.
 /// The frontend parses it later, but cancellations in it take effect at once, and so does the
 /// client's end of stream behind it.
+///
+/// The offset of the search for cancellations is never behind the end of the bytes: whatever removes
+/// bytes makes the next search begin anew.
 #[derive(Default)]
 pub(super) struct DeferredInput {
-    pub(super) bytes: Vec<u8>,
+    bytes: Vec<u8>,
     /// The offset up to which the bytes were searched for cancellations.
-    pub(super) scanned: usize,
+    searched: usize,
 }
 
 impl DeferredInput {
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Adds bytes at the end.
+    pub(super) fn append(&mut self, input: &[u8]) {
+        self.bytes.extend_from_slice(input);
+    }
+
     /// Removes the first chunk, to be parsed now.
     pub(super) fn take_chunk(&mut self) -> Vec<u8> {
         let rest = self
             .bytes
             .split_off(self.bytes.len().min(DEFERRED_CHUNK_BYTES));
+        self.searched = 0;
         std::mem::replace(&mut self.bytes, rest)
     }
+
+    /// Makes the next search begin at the first byte: what is before it has changed.
+    pub(super) fn restart_search(&mut self) {
+        self.searched = 0;
+    }
+
+    /// Has the frontend search what it has not searched yet for cancellations.
+    pub(super) fn search(&mut self, frontend: &mut impl Frontend, events: &mut Vec<FrontendEvent>) {
+        let searched = frontend.scan_deferred_input(&self.bytes, self.searched, events);
+        self.searched = searched.min(self.bytes.len());
+    }
 }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -83,6 +83,8 @@
     pub(super) penalty: RejectionPenalty,
     /// The socket has input that is not read yet, so that the connection is not quiet.
     pub(super) has_unread_input: bool,
+    /// New requests are rejected: the memory for input was short, and the connection is to end.
+    pub(super) rejects_requests: bool,
 }
 
 impl<F: Frontend> ClientConnection<'_, F> {
@@ -115,7 +117,7 @@
     async fn step(&mut self) -> ControlFlow<Exit> {
         let now = clock::now();
         let throttle = self.throttle(now);
-        if !throttle.is_active() && !self.deferred.bytes.is_empty() {
+        if !throttle.is_active() && !self.deferred.is_empty() {
             return self.feed_deferred_chunk(now).await;
         }
         let plan = self.plan_wait(now, &throttle);
@@ -208,7 +210,9 @@
         {
             return ControlFlow::Break(Exit::Graceful(reason));
         }
-        self.enforce_input_memory_limit();
+        if let Err(reason) = self.enforce_input_memory_limit(now).await {
+            return ControlFlow::Break(Exit::Graceful(reason));
+        }
         // A client that sends without pause is always readable: the other connections get a turn.
         yield_now().await;
         ControlFlow::Continue(())
@@ -238,19 +242,26 @@
         ControlFlow::Continue(())
     }
 
-    /// Discards this client's incomplete message if it has a large one while all clients together
-    /// exceed the memory limit for input.
-    fn enforce_input_memory_limit(&mut self) {
+    /// While all clients together exceed the memory limit for input, and this one has much of it:
+    /// rejects the requests that wait to be parsed, discards its incomplete message, and reads no more.
+    async fn enforce_input_memory_limit(&mut self, now: Micros) -> Result<(), Termination> {
         let over_limit = self.shared.unread_bytes.get() > self.shared.max_unread_bytes.get();
-        if over_limit && self.buffered_input_bytes() > IDLE_CAPACITY_BYTES {
-            self.deferred.bytes = Vec::new();
-            self.frontend
-                .stop_reading(DisconnectReason::OutOfMemory, &mut self.output.bytes);
+        if !over_limit || self.buffered_input_bytes() <= IDLE_CAPACITY_BYTES {
+            return Ok(());
+        }
+        self.rejects_requests = true;
+        while !self.deferred.is_empty() {
+            let chunk = self.deferred.take_chunk();
+            self.feed_frontend(now, Received::Deferred(&chunk)).await?;
         }
+        self.frontend
+            .stop_reading(DisconnectReason::OutOfMemory, &mut self.output.bytes);
+        self.input_quota.set(self.buffered_input_bytes());
+        Ok(())
     }
 
     fn buffered_input_bytes(&self) -> usize {
-        self.frontend.buffered_bytes() + self.deferred.bytes.len()
+        self.frontend.buffered_bytes() + self.deferred.len()
     }
 
     /// Whether the socket has unread input: closing it now would reset the connection and lose it.
@@ -293,24 +304,21 @@
         let penalized = self.frontend.penalized_messages() - penalized_before;
         self.penalty.add(now, penalized);
         // The cancellation of a request that was just parsed may be in the input that is deferred.
-        self.scan_deferred_input_from(0);
+        self.deferred.restart_search();
+        self.search_deferred_input();
         self.forward_events(now).await;
         fed
     }
 
     /// Keeps input for later, and forwards the cancellations in it.
     async fn defer_input(&mut self, now: Micros, count: usize) {
-        self.deferred
-            .bytes
-            .extend_from_slice(&self.shared.buffer.borrow()[..count]);
-        self.scan_deferred_input_from(self.deferred.scanned);
+        self.deferred.append(&self.shared.buffer.borrow()[..count]);
+        self.search_deferred_input();
         self.forward_events(now).await;
     }
 
-    fn scan_deferred_input_from(&mut self, offset: usize) {
-        self.deferred.scanned =
-            self.frontend
-                .scan_deferred_input(&self.deferred.bytes, offset, &mut self.events);
+    fn search_deferred_input(&mut self) {
+        self.deferred.search(&mut self.frontend, &mut self.events);
         self.input_quota.set(self.buffered_input_bytes());
     }
 }
--- a/src/net/client/events.rs
+++ b/src/net/client/events.rs
@@ -7,8 +7,8 @@
 use crate::net::dispatcher::DispatcherEvent;
 use std::collections::VecDeque;
 
-/// The Retry-After of a request that is rejected because this process drains its connections: the
-/// client reaches another gateway by then.
+/// The Retry-After of a request that is rejected because its connection is to end: the client reaches
+/// another one by then, or another gateway.
 const DRAIN_RETRY_AFTER: Micros = 50 * MS;
 
 impl<F: Frontend> ClientConnection<'_, F> {
@@ -42,7 +42,7 @@
     }
 
     fn rejects_new_requests(&self, now: Micros) -> bool {
-        self.shared.lifecycle.borrow().rejects_new_requests(now)
+        self.rejects_requests || self.shared.lifecycle.borrow().rejects_new_requests(now)
     }
 
     fn reject_while_draining(&mut self, now: Micros, request: ClientRequest) -> DispatcherEvent {
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -136,8 +136,10 @@
         active_at: now,
         penalty: RejectionPenalty::default(),
         has_unread_input: false,
+        rejects_requests: false,
     };
-    let reason = running.run().await;
+    let served = shared.contain_panic("a client's connection", running.run());
+    let reason = served.await.unwrap_or(Termination::Dropped);
     if let Some(predecessor) = predecessor {
         notify_predecessor(&predecessor);
     }
@@ -171,3 +173,7 @@
 #[cfg(test)]
 #[path = "../../../tests/unit/net_client.rs"]
 pub(super) mod tests;
+
+#[cfg(test)]
+#[path = "../../../tests/unit/net_client_input.rs"]
+mod input_tests;
--- a/src/net/client/transfer.rs
+++ b/src/net/client/transfer.rs
@@ -26,7 +26,7 @@
     ) -> Option<(Sender<TransferredItem>, TransferredConnection)> {
         let may_transfer = self.status.transferring.get()
             && self.frontend.has_valid_message()
-            && self.deferred.bytes.is_empty();
+            && self.deferred.is_empty();
         if !may_transfer {
             return None;
         }
--- a/src/net/client/wait.rs
+++ b/src/net/client/wait.rs
@@ -112,9 +112,9 @@
     pub(super) fn plan_wait(&self, now: Micros, throttle: &Throttle) -> WaitPlan {
         let writing = self.is_writing();
         let open_requests = self.frontend.open_requests();
-        let idle = !writing && open_requests == 0 && self.deferred.bytes.is_empty();
+        let idle = !writing && open_requests == 0 && self.deferred.is_empty();
         let defers_input = throttle.is_active();
-        let input_blocked = defers_input && self.deferred.bytes.len() >= MAX_DEFERRED_BYTES;
+        let input_blocked = defers_input && self.deferred.len() >= MAX_DEFERRED_BYTES;
         let message_due_at = self.message_due_at();
         let unresponsive_at = match (writing, idle) {
             (true, _) => Some(self.active_at + WRITE_STALL_TIMEOUT),
--- a/src/net/engine/actor.rs
+++ b/src/net/engine/actor.rs
@@ -1,12 +1,14 @@
 //! The actor of one engine: assigns attempts to connections and opens new ones.
 use super::connection::Connection;
 use super::connection_handle::{ConnectionHandle, ConnectionStatus};
-use super::{EndpointHandle, EngineCommand, MailboxSender, Peer, bounded, report_unsent};
+use super::{
+    EndpointHandle, EngineCommand, MailboxSender, Peer, attempt_id, bounded, report_unsent,
+};
 use crate::backend::Protocol;
 use crate::backend::connection_state::ConnectionState;
 use crate::clock::{self, Micros, SEC};
 use crate::dispatcher::termination::Termination;
-use crate::dispatcher::{AttemptRequest, ProbeOutcome};
+use crate::dispatcher::{AttemptId, AttemptRequest, ProbeOutcome};
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::{Shared, sleep_until};
 use crate::policy::api::{LoadReport, OutcomeKind, RequestId};
@@ -42,6 +44,8 @@
     pub(super) commands: MailboxSender<EngineCommand>,
     pub(super) mailbox: Receiver<EngineCommand>,
     pub(super) connections: Vec<ConnectionHandle>,
+    /// The attempt that is being assigned to a connection: owed an end if this actor panics.
+    pub(super) assigning: Option<AttemptId>,
     /// When a removed engine's connections are closed.
     pub(super) close_at: Option<Micros>,
 }
@@ -52,6 +56,13 @@
 {
     /// Runs until nothing is left to do or the engine is removed. Connections end with it.
     pub(super) async fn run(mut self) {
+        let shared = self.shared.clone();
+        let serve = self.serve();
+        shared.contain_panic("the actor of an engine", serve).await;
+        self.shut_down().await;
+    }
+
+    async fn serve(&mut self) {
         loop {
             self.forget_closed_connections();
             // No other task runs between this check and the closing of the mailbox, so no command
@@ -67,7 +78,6 @@
                 WakeReason::RemovalDue | WakeReason::MailboxClosed => break,
             }
         }
-        self.shut_down().await;
     }
 
     async fn next_wake(&self) -> WakeReason {
@@ -87,9 +97,12 @@
     /// Closes the mailbox; attempts that are still in it were never sent.
     async fn shut_down(self) {
         self.mailbox.close();
+        if let Some(attempt) = self.assigning {
+            report_unsent(&self.dispatcher, attempt, Termination::LocalLimit).await;
+        }
         while let Ok(command) = self.mailbox.try_recv() {
             if let EngineCommand::Start(request) = command {
-                report_unsent(&self.dispatcher, &request, Termination::Drained).await;
+                report_unsent(&self.dispatcher, attempt_id(&request), Termination::Drained).await;
             }
         }
     }
@@ -101,7 +114,11 @@
 
     async fn handle(&mut self, command: EngineCommand) {
         match command {
-            EngineCommand::Start(request) => self.start_attempt(request).await,
+            EngineCommand::Start(request) => {
+                self.assigning = Some(attempt_id(&request));
+                self.start_attempt(request).await;
+                self.assigning = None;
+            }
             EngineCommand::Cancel { id, .. } => self.cancel_attempt(id, command),
             EngineCommand::MarkSlow { id, .. } | EngineCommand::SetPriority { id, .. } => {
                 self.advise_attempt(id, command);
@@ -117,12 +134,17 @@
 
     async fn start_attempt(&mut self, request: AttemptRequest) {
         if self.endpoint.is_draining() {
-            report_unsent(&self.dispatcher, &request, Termination::Drained).await;
+            report_unsent(&self.dispatcher, attempt_id(&request), Termination::Drained).await;
             return;
         }
         // Otherwise the statement would run on the tables of another database.
         if names_database(&request) && !self.peer.options.supports_databases {
-            report_unsent(&self.dispatcher, &request, Termination::LocalLimit).await;
+            report_unsent(
+                &self.dispatcher,
+                attempt_id(&request),
+                Termination::LocalLimit,
+            )
+            .await;
             return;
         }
         let connection = match self.select_connection(&request) {
@@ -130,7 +152,12 @@
             None => self.open_connection(),
         };
         if let Err(request) = connection.start_attempt(request) {
-            report_unsent(&self.dispatcher, &request, Termination::LocalLimit).await;
+            report_unsent(
+                &self.dispatcher,
+                attempt_id(&request),
+                Termination::LocalLimit,
+            )
+            .await;
         }
     }
 
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -13,7 +13,7 @@
 use crate::backend::Protocol;
 use crate::clock::Micros;
 use crate::dispatcher::termination::{Termination, TransmitProgress};
-use crate::dispatcher::{AttemptReply, AttemptRequest, AttemptResult};
+use crate::dispatcher::{AttemptId, AttemptReply, AttemptRequest, AttemptResult};
 use crate::policy::api::{AttemptNo, EngineId, RequestId};
 use actor::EngineActor;
 use async_channel::Sender;
@@ -112,6 +112,7 @@
         commands: commands.clone(),
         mailbox,
         connections: Vec::new(),
+        assigning: None,
         close_at: None,
     };
     let (shared_by_task, endpoint) = (shared.clone(), endpoint.clone());
@@ -123,15 +124,23 @@
     commands
 }
 
+/// Which attempt is requested.
+fn attempt_id(request: &AttemptRequest) -> AttemptId {
+    AttemptId {
+        request: request.id,
+        attempt: request.attempt,
+    }
+}
+
 /// Reports an attempt that ended before a byte of it was sent.
 async fn report_unsent(
     dispatcher: &Sender<DispatcherEvent>,
-    request: &AttemptRequest,
+    attempt: AttemptId,
     termination: Termination,
 ) {
     let result = AttemptResult {
-        id: request.id,
-        attempt: request.attempt,
+        id: attempt.request,
+        attempt: attempt.attempt,
         termination,
         progress: TransmitProgress::Unsent,
         reply: AttemptReply::default(),
--- a/tests/unit/net_client.rs
+++ b/tests/unit/net_client.rs
@@ -4,6 +4,7 @@
 use crate::config::process::Names;
 use crate::dispatcher::ClientRequest;
 use crate::frontend::jsonrpc::JsonRpc;
+use crate::frontend::{DisconnectReason, FrontendEvent};
 use crate::testkit::clients::{STATUS, rpc_line};
 use crate::testkit::{eventually, listener};
 use async_io::block_on;
@@ -110,6 +111,12 @@
 
 impl Fixture {
     fn new() -> Fixture {
+        Fixture::with_frontend(|shared| new_frontend(shared)(1))
+    }
+
+    fn with_frontend<F: Frontend + 'static>(
+        new_frontend: impl FnOnce(&Rc<Shared>) -> F,
+    ) -> Fixture {
         let (listener, addr) = listener();
         let client = TcpStream::connect(addr).expect("a connection");
         let (stream, _) = listener.get_ref().accept().expect("a connection");
@@ -117,7 +124,7 @@
         let shared = Shared::new(64, 64);
         let (dispatcher, events) = bounded(1_000);
         let stream = Async::new(stream).expect("a socket");
-        let frontend = new_frontend(&shared)(1);
+        let frontend = new_frontend(&shared);
         let responses = start(&shared, dispatcher, stream, 1, frontend, None);
         Fixture {
             shared,
@@ -526,3 +533,117 @@
         assert!(text.contains(&response), "{id}: {text}");
     }
 }
+
+/// A client that is throttled while the memory for input is short crashed its connection's actor: the
+/// input that waited for its parser was dropped, the offset up to which it had been searched stayed, and
+/// the next bytes were searched from there ("range start index 4284 out of range for slice of length 148"). The actor ended
+/// without a word to its client or to the dispatcher, and its entry in the registry stayed. See
+/// docs/incidents/crashed-connection.md.
+#[test]
+fn a_throttled_client_gets_its_responses_when_the_memory_for_input_is_short() {
+    let fixture = Fixture::connected();
+    fixture.open_request(1);
+    fixture.throttle();
+    let deferred: Vec<u8> = (2..30).flat_map(request_line).collect();
+    fixture.write(&deferred);
+    fixture.run_until(|| fixture.shared.unread_bytes.get() == deferred.len());
+    assert!(deferred.len() > 4_096, "more than a connection may keep");
+
+    // Another client takes the memory, and this one goes on sending.
+    fixture.shared.max_unread_bytes.set(0);
+    fixture.write(&request_line(30));
+    fixture.run_until(|| fixture.shared.unread_bytes.get() == 0);
+    fixture.write(&request_line(31));
+    fixture.run_until(|| fixture.shared.unread_bytes.get() > 0);
+    fixture.respond(1, Response::Rejected(None));
+
+    let text = fixture.read_to_end();
+    for id in 1..=30 {
+        let response = format!("\"id\":{id},");
+        assert_eq!(text.matches(&response).count(), 1, "{id}: {text}");
+    }
+    assert_eq!(fixture.shared.actor_panics.get(), 0);
+    fixture.close();
+}
+
+/// Guards against the traces of an actor that crashes, for whatever reason: its client's requests would
+/// run for nobody, and its entry would count for ever.
+#[test]
+fn a_connection_whose_actor_panics_leaves_nothing_behind() {
+    let fixture = Fixture::with_frontend(|_| PanickingFrontend);
+    fixture.wait_for_connection();
+    fixture.write(b"x");
+
+    fixture.wait_for_disconnect();
+
+    let shared = &fixture.shared;
+    assert!(shared.clients.borrow().is_empty());
+    let counts = [
+        shared.client_sockets.get(),
+        shared.closing_sockets.get(),
+        shared.connections_with_unwritten_output.get(),
+        shared.unread_bytes.get(),
+        shared.unwritten_bytes.get(),
+    ];
+    assert_eq!(counts, [0; 5]);
+    assert_eq!(shared.actor_panics.get(), 1);
+    // The descriptor is gone too: without the test's own one the client sees the end.
+    let Fixture {
+        accepted,
+        mut client,
+        ..
+    } = fixture;
+    drop(accepted);
+    assert_eq!(client.read(&mut [0; 8]).expect("a proper end"), 0);
+}
+
+/// A protocol that panics at the first byte.
+struct PanickingFrontend;
+
+impl Frontend for PanickingFrontend {
+    fn feed(
+        &mut self,
+        _now: Micros,
+        _input: &[u8],
+        _events: &mut Vec<FrontendEvent>,
+        _output: &mut Vec<u8>,
+    ) -> Result<(), Termination> {
+        panic!("this test panics on purpose")
+    }
+
+    fn write_response(
+        &mut self,
+        _now: Micros,
+        _tag: u64,
+        _response: Response,
+        _events: &mut Vec<FrontendEvent>,
+        _output: &mut Vec<u8>,
+    ) {
+    }
+
+    fn open_requests(&self) -> usize {
+        0
+    }
+
+    fn message_started_at(&self) -> Option<Micros> {
+        None
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        0
+    }
+
+    fn stop_reading(&mut self, _reason: DisconnectReason, _output: &mut Vec<u8>) {}
+
+    fn has_valid_message(&self) -> bool {
+        true
+    }
+
+    fn penalized_messages(&self) -> u64 {
+        0
+    }
+
+    fn closes_after_output(&self) -> bool {
+        false
+    }
+}
--- a/tests/wire_formats.rs
+++ b/tests/wire_formats.rs
@@ -477,6 +477,7 @@
         targets_disabled: 1,
         reload_success: 2,
         reload_failure: 1,
+        actor_panics: 0,
     };
     assert_text("metrics.txt", &admin::metrics_text(&figures));
 }
