--- a/src/testkit/clients/mod.rs
+++ b/src/testkit/clients/mod.rs
@@ -11,8 +11,8 @@
     rpc_with_disconnect,
 };
 pub use sustained::{
-    CLOSE_CROSSING, ConnectionEnd, SustainedLoad, SustainedLoadPlan, SustainedLoadReport,
-    SustainedRequest,
+    CLOSE_CROSSING, ConnectionEnd, SustainedClass, SustainedLoad, SustainedLoadPlan,
+    SustainedLoadReport, SustainedProtocol, SustainedRequest,
 };
 
 use async_io::Async;
--- a/src/testkit/engines/mod.rs
+++ b/src/testkit/engines/mod.rs
@@ -154,9 +154,10 @@
         self.task.as_ref().is_some_and(|task| !task.is_finished())
     }
 
-    /// Ends its process: its connections are reset, and new ones are refused.
+    /// Ends its process: its connections are reset, new ones are refused, and what it runs has ended.
     pub fn shut_down(&mut self) {
         self.task = None;
+        self.state.log.record_engine_end(&self.state.name);
         let streams = self.state.streams.borrow();
         for stream in streams.iter().filter_map(Weak::upgrade) {
             reset(&stream);
--- a/src/testkit/execution_log.rs
+++ b/src/testkit/execution_log.rs
@@ -1,6 +1,7 @@
 //! What all stand-in engines have seen of queries, and the invariants that follow from it.
 use super::engines::EngineBehavior;
 use crate::clock::{self, MS, Micros};
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -138,6 +139,24 @@
     pub key_window: Micros,
 }
 
+impl ExecutionLimits {
+    /// What these settings of a daemon allow.
+    pub fn of_settings(settings: &Value) -> ExecutionLimits {
+        let limits = &settings["limits"];
+        let hedging = limits["second_copies"] == true;
+        let classes = settings["classes"].as_array().into_iter().flatten();
+        let key_window_nanos = classes
+            .filter(|class| class["semantics"] == "token")
+            .filter_map(|class| class["window_ns"].as_u64())
+            .max();
+        ExecutionLimits {
+            max_concurrent: if hedging { 2 } else { 1 },
+            max_attempts: limits["send_cap"].as_u64().unwrap_or(1) as usize,
+            key_window: clock::micros(key_window_nanos.unwrap_or(0)),
+        }
+    }
+}
+
 impl Default for ExecutionLimits {
     fn default() -> ExecutionLimits {
         ExecutionLimits {
@@ -215,6 +234,18 @@
         end.get_or_insert(RunEnd { at, outcome });
     }
 
+    /// Records that an engine's process ended, and with it all that it ran.
+    pub fn record_engine_end(&self, engine: &str) {
+        let end = RunEnd {
+            at: clock::turn(),
+            outcome: RunOutcome::Cancelled,
+        };
+        let mut runs = self.runs.borrow_mut();
+        for run in runs.iter_mut().filter(|run| run.engine == engine) {
+            run.end.get_or_insert(end);
+        }
+    }
+
     /// Records a new priority of a run.
     pub fn record_priority(&self, run: RunId, priority: &str) {
         let mut runs = self.runs.borrow_mut();
--- a/src/testkit/fleet/mod.rs
+++ b/src/testkit/fleet/mod.rs
@@ -6,10 +6,11 @@
 use super::daemon::{self, Folder};
 use super::fault_proxy::FaultProxy;
 use super::ports::reserve_addr;
+use super::stand_in_thread::StandInThread;
 use async_io::block_on;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use stand_ins::StandInThread;
+use stand_ins::StandInAddresses;
 pub use stand_ins::{ENGINES, StandIns};
 use std::fs::File;
 use std::net::SocketAddr;
@@ -93,7 +94,8 @@
     /// The addresses of the admin endpoints.
     pub admin_addrs: Vec<SocketAddr>,
     client_addrs: Vec<SocketAddr>,
-    stand_ins: StandInThread,
+    stand_ins: StandInThread<StandIns>,
+    stand_in_addrs: StandInAddresses,
     processes: Vec<Option<Child>>,
     /// The directory of the configurations and logs.
     pub folder: Folder,
@@ -109,6 +111,8 @@
     pub fn start_with(program: &Path, tag: &str, seed: u64, options: Options) -> Fleet {
         let member_addrs: Vec<SocketAddr> = (0..MEMBERS).map(|_| reserve_addr()).collect();
         let fault_proxy = FaultProxy::start(member_addrs.clone(), seed).expect("free ports");
+        let stand_ins = StandInThread::start(|executor| StandIns::start(executor, MEMBERS));
+        let stand_in_addrs = stand_ins.call(|stand_ins, _| stand_ins.addresses());
         let mut fleet = Fleet {
             program: program.to_owned(),
             tag: tag.into(),
@@ -117,7 +121,8 @@
             member_addrs,
             admin_addrs: (0..MEMBERS).map(|_| reserve_addr()).collect(),
             client_addrs: (0..MEMBERS).map(|_| reserve_addr()).collect(),
-            stand_ins: StandInThread::start(MEMBERS),
+            stand_ins,
+            stand_in_addrs,
             processes: (0..MEMBERS).map(|_| None).collect(),
             folder: Folder::new().expect("a temporary directory"),
         };
@@ -154,8 +159,8 @@
     fn configuration(&self, member: usize, shares: TenantShares) -> String {
         let mut config = daemon::config(
             self.client_addrs[member],
-            self.stand_ins.coordinators[member],
-            &self.stand_ins.initial_lists[member],
+            self.stand_in_addrs.coordinators[member],
+            &self.stand_in_addrs.initial_lists[member],
             256,
         );
         config["name"] = json!(self.name(member));
@@ -252,7 +257,7 @@
         &self,
         task: impl FnOnce(&StandIns) -> T + Send + 'static,
     ) -> T {
-        self.stand_ins.call(task)
+        self.stand_ins.call(|stand_ins, _| task(stand_ins))
     }
 
     /// Sends a manager a query whose idempotency key is `number`, and waits for its response.
--- a/src/testkit/mod.rs
+++ b/src/testkit/mod.rs
@@ -16,6 +16,7 @@
 pub mod probe_simulation;
 pub mod scale;
 pub mod scenario;
+pub mod stand_in_thread;
 
 pub use execution_log::ExecutionLog;
 
