--- a/src/dispatcher/metrics.rs
+++ b/src/dispatcher/metrics.rs
@@ -36,6 +36,8 @@
     pub reload_failure: u64,
     /// Actors that ended by a panic.
     pub actor_panics: u64,
+    /// Client connections in the registry.
+    pub client_connections: u64,
 }
 
 /// Counters of the dispatcher, the same for every frontend and every kind of engine.
--- a/src/dispatcher/recording.rs
+++ b/src/dispatcher/recording.rs
@@ -101,6 +101,7 @@
             reload_failure: self.counters.reload_failures,
             // Counted outside of the dispatcher.
             actor_panics: 0,
+            client_connections: 0,
         }
     }
 }
--- a/src/frontend/admin/metrics.rs
+++ b/src/frontend/admin/metrics.rs
@@ -53,6 +53,11 @@
         ("reload_success", snapshot.reload_success, Kind::Counter),
         ("reload_failure", snapshot.reload_failure, Kind::Counter),
         ("actor_panics", snapshot.actor_panics, Kind::Counter),
+        (
+            "client_connections",
+            snapshot.client_connections,
+            Kind::Gauge,
+        ),
     ]
     .map(|(name, value, kind)| format!("app.{name}:{value}|{kind}\n"))
     .concat()
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -205,6 +205,7 @@
         MetricsSnapshot {
             dispatches: self.dispatches.get(),
             actor_panics: self.actor_panics.get(),
+            client_connections: self.clients.borrow().len() as u64,
             ..self.metrics.borrow().clone()
         }
     }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,7 +2,7 @@
 //! The bounds are those of the platform's protocol.
 use super::manager::ManagerReport;
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use yokelift::testkit::clients::{
     ClientOutcome, ConnectionEnd, SustainedLoadReport, SustainedRequest,
 };
@@ -10,6 +10,8 @@
 
 /// A response that comes later than this after its time is a lost request.
 const LATE_RESPONSE: Duration = Duration::from_millis(500);
+/// An attempt that begins later than this after its client is gone breaks a rule.
+const GONE_NOTICE: Duration = Duration::from_millis(100);
 /// How long after a kill its clients may see the end of their connections.
 const KILL_NOTICE: Duration = Duration::from_millis(200);
 /// The findings of one kind that are told in full.
@@ -57,6 +59,14 @@
             "answered with what can't be read",
             select(&|it| first_outcome(it) == Some(&ClientOutcome::Cut)),
         );
+        let gone: Vec<&SustainedRequest> = select(&|it| gone_at(it).is_some());
+        let sent_for_nobody = gone.into_iter().filter(|it| {
+            let latest = gone_at(it).map(|at| unix_micros(at + GONE_NOTICE + load.lag));
+            runs(&it.key)
+                .iter()
+                .any(|run| Some(run.started_at) > latest)
+        });
+        tell("sent for a client that was gone", sent_for_nobody.collect());
         let rejected_loads: Vec<&SustainedRequest> = select(&|it| is_rejected_load(it));
         let dishonest = rejected_loads
             .into_iter()
@@ -98,6 +108,24 @@
     !by_kill && !by_crowd
 }
 
+/// When the client stopped waiting: it cancelled the request, or left.
+fn gone_at(request: &SustainedRequest) -> Option<Instant> {
+    let left_at = request
+        .connection_end
+        .filter(|(_, end)| *end == ConnectionEnd::Left)
+        .map(|(at, _)| at);
+    request.cancelled_at.into_iter().chain(left_at).min()
+}
+
+/// A moment of this process's clock as the engines' log has it.
+fn unix_micros(at: Instant) -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let age = Instant::now().saturating_duration_since(at);
+    (now - age).as_micros() as u64
+}
+
 fn follows(at: Instant, earlier: Instant, within: Duration) -> bool {
     at.checked_duration_since(earlier)
         .is_some_and(|after| after <= within)
--- a/tests/soak/manager.rs
+++ b/tests/soak/manager.rs
@@ -413,14 +413,18 @@
         let base = *lock(&self.base_descriptors);
         let is_idle = || {
             self.with_process(|process| {
-                process.metric("concurrent") == Some(0) && process.descriptors() <= base
+                process.metric("concurrent") == Some(0)
+                    && process.metric("client_connections").unwrap_or(0) == 0
+                    && process.descriptors() <= base
             })
         };
         if !yokelift::testkit::fleet::eventually(is_idle) {
             let open = self.with_process(|process| process.metric("concurrent"));
+            let registered = self.with_process(|process| process.metric("client_connections"));
             let descriptors = self.with_process(|process| process.descriptors());
             self.note(format!(
-                "without clients {open:?} requests are open, {descriptors} descriptors instead of {base}"
+                "without clients {open:?} requests are open, {registered:?} connections registered, \
+                 {descriptors} descriptors instead of {base}"
             ));
         }
         let panics = self.with_process(|process| process.metric("actor_panics"));
--- a/tests/wire_formats.rs
+++ b/tests/wire_formats.rs
@@ -478,6 +478,7 @@
         reload_success: 2,
         reload_failure: 1,
         actor_panics: 0,
+        client_connections: 5,
     };
     assert_text("metrics.txt", &admin::metrics_text(&figures));
 }
