--- a/src/frontend/jsonrpc/mod.rs
+++ b/src/frontend/jsonrpc/mod.rs
@@ -85,6 +85,7 @@
     /// boundaries to resume at.
     fn reject_and_close(&mut self, output: &mut Vec<u8>, cause: MessageError) {
         self.reject(output, &Value::Null, cause);
+        self.input.discard_message();
         self.closing = true;
     }
 
@@ -349,7 +350,7 @@
     }
 
     fn closes_after_output(&self) -> bool {
-        self.closing && self.open.is_empty()
+        self.closing && self.open_requests() == 0
     }
 }
 
--- a/src/lease/timing.rs
+++ b/src/lease/timing.rs
@@ -73,9 +73,8 @@
         if term_ms == 0 || term_ms > MAX_LEASE_DURATION_MS {
             return Err(LeaseTimingError::DurationOutOfRange { term_ms });
         }
-        let drift_ms = term_ms * self.clock_drift_per_mille.min(1_000) / 1_000;
-        let deducted_ms = drift_ms.saturating_add(self.safety_margin_ms);
-        if term_ms.saturating_sub(deducted_ms) < term_ms / 2 {
+        let deducted_ms = self.deducted_ms();
+        if deducted_ms.saturating_mul(2) > term_ms {
             return Err(LeaseTimingError::ValidityTooShort {
                 drift: self.clock_drift_per_mille,
                 margin_ms: self.safety_margin_ms,
@@ -87,8 +86,16 @@
 
     /// How long a holder may use a lease, counted from when it sent the request.
     pub fn holder_validity(&self) -> Micros {
-        let drift_ms = self.lease_duration_ms * self.clock_drift_per_mille / 1_000;
-        (self.lease_duration_ms - drift_ms - self.safety_margin_ms) * MS
+        self.lease_duration_ms.saturating_sub(self.deducted_ms()) * MS
+    }
+
+    /// What drift and margin take of the lease duration, in milliseconds. Drift counts in full
+    /// milliseconds, upwards.
+    fn deducted_ms(&self) -> u64 {
+        let drift = self
+            .lease_duration_ms
+            .saturating_mul(self.clock_drift_per_mille);
+        drift.div_ceil(1_000).saturating_add(self.safety_margin_ms)
     }
 
     /// How long a voter's grant is valid, counted from when it granted.
--- a/src/net/client/graceful_close.rs
+++ b/src/net/client/graceful_close.rs
@@ -23,19 +23,24 @@
     /// client still sends, within limits. A client repeats elsewhere a request that crosses the
     /// close. Returns `reason`.
     pub(super) async fn close_gracefully(self, reason: Termination) -> Termination {
-        let output_guard = CountGuard::new(&self.shared.connections_with_unwritten_output);
+        let final_write = CountGuard::new(&self.shared.connections_with_unwritten_output);
         let write_side_closed = self.write_remaining_output().await
             && self.stream.get_ref().shutdown(Shutdown::Write).is_ok();
         if !write_side_closed {
             return reason;
         }
-        drop(output_guard);
+        drop(final_write);
+        // Of the rest nothing counts any more while the connection waits for its client.
         let ClientConnection {
             shared,
             stream,
             socket_guard,
+            output_guard,
+            output,
+            input_quota,
             ..
         } = self;
+        drop((output_guard, output, input_quota));
         // A connection that only waits for its client to close does not count as a client socket.
         let closing_limit = shared.max_closing_sockets.get();
         let Some(_closing_guard) = CountGuard::up_to(&shared.closing_sockets, closing_limit) else {
--- a/src/net/discovery/coordinator.rs
+++ b/src/net/discovery/coordinator.rs
@@ -210,7 +210,7 @@
         position.generation.set(generation);
         let backoff = Backoff::new(start.backoff_seed.wrapping_add(generation));
         let watch = watch.clone();
-        shared.spawn(async move { watch.follow(addr, backoff).await });
+        shared.spawn(async move { watch.follow(addr, generation, backoff).await });
     }
 }
 
@@ -224,10 +224,9 @@
         }
     }
 
-    /// Connects to an address again and again for as long as it is the newest, and reads the last
-    /// connection until it ends.
-    async fn follow(&self, addr: SocketAddr, mut backoff: Backoff) {
-        let generation = self.position.generation.get();
+    /// Connects to the address of that generation again and again for as long as it is the newest, and
+    /// reads the last connection until it ends.
+    async fn follow(&self, addr: SocketAddr, generation: u64, mut backoff: Backoff) {
         while self.position.generation.get() == generation {
             let contacted = Cell::new(false);
             let silence_timeout = backoff.silence_timeout();
--- a/src/net/fleet/membership/actor.rs
+++ b/src/net/fleet/membership/actor.rs
@@ -16,13 +16,16 @@
 use crate::net::fleet::versions::running_versions;
 use crate::net::{Shared, sleep_until};
 use async_channel::Receiver;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future::{or, pending};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The minimum interval between two lease views, each of which ranks all members for each lease.
 const LEASE_VIEW_INTERVAL: Micros = 200 * MS;
+/// How long nothing is received after an error of the socket.
+const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(100);
 /// The interval between two fleet views while no member changes its state.
 const FLEET_VIEW_INTERVAL: Micros = 100 * MS;
 /// Why the actor woke up.
@@ -136,7 +139,11 @@
         let datagram = async {
             match self.socket.recv_from(buffer).await {
                 Ok((length, from)) => WakeReason::Datagram { length, from },
-                Err(_) => WakeReason::Timer,
+                // An error that lasts must not make this loop spin.
+                Err(_) => {
+                    Timer::after(RECEIVE_ERROR_PAUSE).await;
+                    WakeReason::Timer
+                }
             }
         };
         let probe_request = async {
--- a/src/net/hot_restart/predecessor.rs
+++ b/src/net/hot_restart/predecessor.rs
@@ -1,6 +1,6 @@
 //! The running process: accepts successors on the manager's Unix socket.
 use super::POLL_INTERVAL;
-use super::predecessor_session;
+use super::predecessor_session::{self, TransferredItem};
 use crate::lifecycle::SuccessorState;
 use crate::log;
 use crate::net::Shared;
@@ -29,43 +29,56 @@
     pub listeners: Vec<(SocketAddr, OwnedFd)>,
 }
 
+/// A connected successor.
+struct Successor {
+    state: SuccessorState,
+    /// What is passed to it.
+    items: Sender<TransferredItem>,
+}
+
 /// The connected successors, and what follows from all of them for this process.
 #[derive(Default)]
 pub(super) struct SuccessorTable {
-    states: RefCell<BTreeMap<u64, SuccessorState>>,
+    successors: RefCell<BTreeMap<u64, Successor>>,
 }
 
 impl SuccessorTable {
     fn len(&self) -> usize {
-        self.states.borrow().len()
+        self.successors.borrow().len()
     }
 
-    /// Records the state of a successor.
-    pub(super) fn set(&self, shared: &Shared, id: u64, state: SuccessorState) {
-        self.states.borrow_mut().insert(id, state);
+    /// Records the state of a successor, and where what is passed to it is sent.
+    pub(super) fn set(
+        &self,
+        shared: &Shared,
+        id: u64,
+        state: SuccessorState,
+        items: &Sender<TransferredItem>,
+    ) {
+        let items = items.clone();
+        let successor = Successor { state, items };
+        self.successors.borrow_mut().insert(id, successor);
         self.update_lifecycle(shared);
     }
 
     /// Removes a successor that has ended, and returns its last state.
     fn remove(&self, shared: &Shared, id: u64) -> Option<SuccessorState> {
-        let state = self.states.borrow_mut().remove(&id);
+        let successor = self.successors.borrow_mut().remove(&id);
         self.update_lifecycle(shared);
-        state
+        successor.map(|successor| successor.state)
     }
 
-    /// The lifecycle sees one successor: a ready one if there is any, otherwise the oldest.
+    /// The lifecycle sees one successor: the newest ready one if there is any, otherwise the oldest.
+    /// Connections pass to the ready one.
     fn update_lifecycle(&self, shared: &Shared) {
-        let states = self.states.borrow();
-        let any_ready = states.values().any(|state| *state == SuccessorState::Ready);
-        let state = if any_ready {
-            SuccessorState::Ready
-        } else {
-            states.values().next().copied().unwrap_or_default()
-        };
-        shared.lifecycle.borrow_mut().set_successor(state);
-        if !any_ready {
-            *shared.successor.borrow_mut() = None;
-        }
+        let successors = self.successors.borrow();
+        let is_ready = |successor: &&Successor| successor.state == SuccessorState::Ready;
+        let ready = successors.values().rev().find(is_ready);
+        let oldest = successors.values().next();
+        let state = ready.or(oldest).map(|successor| successor.state);
+        let mut lifecycle = shared.lifecycle.borrow_mut();
+        lifecycle.set_successor(state.unwrap_or_default());
+        *shared.successor.borrow_mut() = ready.map(|successor| successor.items.clone());
     }
 }
 
@@ -144,3 +157,7 @@
     std::fs::rename(&own_path, path)?;
     Ok(listener)
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/net_hot_restart_predecessor.rs"]
+mod tests;
--- a/src/net/hot_restart/predecessor_session.rs
+++ b/src/net/hot_restart/predecessor_session.rs
@@ -83,14 +83,14 @@
             "a process that wants to follow is left aside: it is of another version or name"
         );
     }
-    successors.set(shared, id, SuccessorState::Starting);
+    let (to_successor, outgoing) = bounded(MAILBOX);
+    successors.set(shared, id, SuccessorState::Starting, &to_successor);
     let reserved_share = shared.lifecycle.borrow().share_reserved_for_predecessors();
     let passed = pass_listeners(shared, predecessor, &peer, reserved_share).await;
     if passed.is_err() {
         return;
     }
     log!("a process follows: the listeners are passed to it");
-    let (to_successor, outgoing) = bounded(MAILBOX);
     let session = PredecessorSession {
         shared,
         successors,
@@ -249,9 +249,9 @@
         match message {
             HotRestartMessage::Ready => {
                 log!("the process that follows serves");
+                let ready = SuccessorState::Ready;
                 self.successors
-                    .set(self.shared, self.id, SuccessorState::Ready);
-                *self.shared.successor.borrow_mut() = Some(self.to_successor.clone());
+                    .set(self.shared, self.id, ready, &self.to_successor);
             }
             HotRestartMessage::Cancel { conn, .. } => {
                 if let Some(client) = self.clients.get(&conn) {
--- a/tests/unit/coordinator.rs
+++ b/tests/unit/coordinator.rs
@@ -131,3 +131,38 @@
 
     assert_eq!((requests, indexes), (vec![3, 4, 4], [4, 5]));
 }
+
+/// Guards discovery after two migrations in quick succession: each address took itself for the newest
+/// one, as it looked when its task first ran, and the older one was followed for ever beside it.
+#[test]
+fn of_two_migrations_at_once_only_the_last_address_is_followed() {
+    let shared = Shared::new(64, 64);
+    let (old_listener, old) = crate::testkit::listener();
+    let (new_listener, new) = crate::testkit::listener();
+    let (migrations, mailbox) = async_channel::bounded(2);
+    let (events, _reported) = async_channel::bounded(16);
+    let start = WatchStart {
+        last_index: 3,
+        backoff_seed: 9,
+    };
+    for addr in [old, new] {
+        let migration = CoordinatorMigration {
+            addr: Some(addr),
+            known: Vec::new(),
+        };
+        migrations.try_send(migration).expect("room");
+    }
+    shared.spawn(run(shared.clone(), start, mailbox, events, || {}));
+
+    // Every watch of the new address is closed at once. The old address may be asked meanwhile, but
+    // not again and again.
+    let watches_of_new = async {
+        for _ in 0..4 {
+            new_listener.accept().await.expect("a watch");
+        }
+    };
+    async_io::block_on(shared.executor.run(watches_of_new));
+
+    let old_watches = std::iter::from_fn(|| old_listener.get_ref().accept().ok()).count();
+    assert_eq!(old_watches, 0);
+}
--- a/tests/unit/jsonrpc.rs
+++ b/tests/unit/jsonrpc.rs
@@ -304,3 +304,38 @@
         assert_eq!(String::from_utf8_lossy(&output), expected);
     }
 }
+
+/// Guards a connection that a hot restart transferred: what its client was promised by the predecessor
+/// comes before the connection closes.
+#[test]
+fn a_connection_closes_after_the_responses_of_the_predecessor() {
+    let state = TransferredConnection {
+        open_requests: vec![5],
+        ..TransferredConnection::default()
+    };
+    let mut frontend = JsonRpc::resume(MS, &state, connection());
+    let (mut events, mut output) = (Vec::new(), Vec::new());
+    let fed = frontend.feed(MS, b"no message\n", &mut events, &mut output);
+    assert!(fed.is_ok() && !frontend.closes_after_output());
+
+    let response = Response::Preformatted(b"{}\n".to_vec());
+    frontend.write_response(MS, 5, response, &mut events, &mut output);
+
+    assert!(frontend.closes_after_output());
+}
+
+/// Guards a client whose broken line came in two pieces: it gets one error line for it.
+#[test]
+fn a_line_that_is_no_message_gets_one_error_however_late_its_end() {
+    let mut frontend = connection();
+    let (mut events, mut output) = (Vec::new(), Vec::new());
+    for piece in [&b"no mess"[..], b"age\n"] {
+        let fed = frontend.feed(MS, piece, &mut events, &mut output);
+        assert!(fed.is_ok());
+    }
+    assert_eq!(frontend.message_started_at(), None);
+
+    frontend.stop_reading(DisconnectReason::MessageTimeout, &mut output);
+
+    assert_eq!(output.iter().filter(|byte| **byte == b'\n').count(), 1);
+}
--- a/tests/unit/lease.rs
+++ b/tests/unit/lease.rs
@@ -68,3 +68,30 @@
         must_store: false,
     }
 }
+
+/// Guards against a validity below zero, which would be almost endless: whatever passes the check
+/// leaves a holder at least half of the lease.
+#[test]
+fn a_timing_that_passes_leaves_half_of_the_lease() {
+    for lease_duration_ms in [1, 2, 3, 10, 3_000, 600_000] {
+        for clock_drift_per_mille in [0, 20, 500, 999, 1_000, 2_000, u64::MAX] {
+            for safety_margin_ms in [0, 1, 2, 100, 1_500, u64::MAX] {
+                let timing = LeaseTiming {
+                    lease_duration_ms,
+                    clock_drift_per_mille,
+                    safety_margin_ms,
+                    ..LeaseTiming::default()
+                };
+                if timing.validate().is_ok() {
+                    let half = lease_duration_ms * MS / 2;
+                    assert!(timing.holder_validity() >= half, "{timing:?}");
+                    assert!(
+                        timing.holder_validity() <= timing.grant_duration(),
+                        "{timing:?}"
+                    );
+                }
+            }
+        }
+    }
+    assert!(LeaseTiming::default().validate().is_ok());
+}
--- a/tests/unit/net_client.rs
+++ b/tests/unit/net_client.rs
@@ -647,3 +647,18 @@
         false
     }
 }
+
+/// Guards the end of a process: it waits for unwritten responses, not for clients that are slow to
+/// close their side.
+#[test]
+fn a_connection_that_waits_for_its_client_holds_nothing_unwritten() {
+    let fixture = Fixture::connected();
+    fixture.open_request(1);
+    fixture.shed();
+    fixture.respond(1, Response::Rejected(None));
+
+    fixture.wait_for_closing_socket();
+
+    assert_eq!(fixture.shared.connections_with_unwritten_output.get(), 0);
+    assert_eq!(fixture.shared.unwritten_bytes.get(), 0);
+}
