Refund no token to a tenant for a rejected retry that paid none

Cause: a marked retry is not charged, but its rejection gave a token back: after twenty of them a tenant that had used up its burst was within its quota again (the new test, failing before).

--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -188,11 +188,13 @@
         let may_reject = may_reject(self.idempotency(request), may_have_run);
         let tenant = request.request.tenant;
         let over_quota = request.over_quota;
+        let is_retry = request.request.is_retry;
         if let Some(request) = self.requests.get_mut(&id) {
             request.finished = true;
         }
         if may_reject {
-            if !over_quota {
+            let has_paid = !over_quota && !is_retry;
+            if has_paid {
                 self.tenant_quotas.refund(tenant);
             }
             let retry_after = self.spread_retry_after(retry_after);
@@ -243,3 +245,7 @@
         OutcomeKind::Timeout | OutcomeKind::Reset | OutcomeKind::Cancelled
     )
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/request_lifecycle.rs"]
+mod tests;
