--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -150,7 +150,8 @@
             SettingsKind::ShortKeyed,
             SettingsKind::LongDeadlines,
         ]);
-        let engines = draw.within(1..=4) as usize;
+        // Without engines every request waits; so they do where all engines hang.
+        let engines = draw.within(0..=4) as usize;
         let managers = (0..draw.within(1..=3))
             .map(|_| draw_manager(&mut draw))
             .collect();
@@ -244,6 +245,9 @@
 }
 
 fn draw_world_event(draw: &mut Draw, engines: usize, discovery_fails: bool) -> WorldEvent {
+    if engines == 0 {
+        return WorldEvent::BrokenWatches;
+    }
     let engine = draw.within(0..=engines as u64 - 1) as usize;
     let discovery_events = [
         WorldEvent::SilentCoordinator,
@@ -271,5 +275,6 @@
         Fault::Slow(slow),
         Fault::Slow(slow),
     ]);
-    vec![fault; draw.within(1..=12) as usize]
+    let most = if fault == Fault::Hang { 60 } else { 12 };
+    vec![fault; draw.within(1..=most) as usize]
 }
