--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -158,14 +158,17 @@
             return;
         }
         let may_hedge = self.settings.limits.hedging && self.has_idle_capacity();
-        if may_hedge {
-            if let Some(engine) = self.select_engine(now, id) {
-                self.cancel_budget.spend();
-                self.send(now, id, engine, actions);
-            }
-        } else if self.idempotency(request) == Idempotency::Idempotent {
+        if !may_hedge && self.idempotency(request) == Idempotency::Idempotent {
             self.cancel_budget.spend();
             self.cancel(id, number, actions);
+            return;
+        }
+        // The selection draws random numbers: it has to be made even where its result is not used,
+        // for runs with the same seed to stay the same.
+        let selected = self.select_engine(now, id);
+        if let Some(engine) = selected.filter(|_| may_hedge) {
+            self.cancel_budget.spend();
+            self.send(now, id, engine, actions);
         }
     }
 
