--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -212,6 +212,12 @@
     assert_sound(4);
 }
 
+/// Known to fail, see KNOWN-RED.txt: 60 requests on connections of a manager with a crowd are reset.
+#[test]
+fn soak_seed_2016() {
+    assert_sound(2016);
+}
+
 fn number_from_environment(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
