Call one HTTP reader, one state folder and one unsent result, and split the sustained load

- The clients of the sustained load read HTTP responses by a copy of read_http's loop, which did not end on a body that can't be read: both call testkit::http_reader now, with their own limits.
- The claims take the state folder from net::audit::folder instead of reading TMPDIR again.
- AttemptResult::unsent serves the dispatcher's actor and the engines' actors, which both made it.
- FaultProxy::set_member_addr went: nothing calls it since the test kit's ports are held.

--- a/src/dispatcher/message.rs
+++ b/src/dispatcher/message.rs
@@ -167,6 +167,16 @@
     Log(String),
 }
 
+impl AttemptRequest {
+    /// The attempt to start.
+    pub fn attempt_id(&self) -> AttemptId {
+        AttemptId {
+            request: self.id,
+            attempt: self.attempt,
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub struct AttemptResult {
@@ -183,6 +193,17 @@
 }
 
 impl AttemptResult {
+    /// The end of an attempt of which no byte was sent.
+    pub fn unsent(attempt: AttemptId, termination: Termination) -> AttemptResult {
+        AttemptResult {
+            id: attempt.request,
+            attempt: attempt.attempt,
+            termination,
+            progress: TransmitProgress::Unsent,
+            reply: AttemptReply::default(),
+        }
+    }
+
     /// The attempt that ended.
     pub fn attempt_id(&self) -> AttemptId {
         AttemptId {
--- a/src/net/dispatcher/commands.rs
+++ b/src/net/dispatcher/commands.rs
@@ -1,9 +1,9 @@
 //! The execution of the dispatcher's commands.
 use super::DispatcherActor;
 use crate::clock::Micros;
-use crate::dispatcher::termination::{Termination, TransmitProgress};
+use crate::dispatcher::termination::Termination;
 use crate::dispatcher::{
-    AttemptId, AttemptReply, AttemptRequest, AttemptResult, Command, Origin, ProbeOutcome, Response,
+    AttemptId, AttemptRequest, AttemptResult, Command, Origin, ProbeOutcome, Response,
 };
 use crate::log;
 use crate::net::engine::EngineCommand;
@@ -58,16 +58,9 @@
 
     /// Starts an attempt; one that the engine's actor cannot take ends at once.
     fn start_attempt(&mut self, now: Micros, engine: EngineId, request: AttemptRequest) {
-        let id = request.id;
-        let attempt = request.attempt;
+        let attempt = request.attempt_id();
         if let Err(termination) = self.send_to_engine(engine, EngineCommand::Start(request)) {
-            let result = AttemptResult {
-                id,
-                attempt,
-                termination,
-                progress: TransmitProgress::Unsent,
-                reply: AttemptReply::default(),
-            };
+            let result = AttemptResult::unsent(attempt, termination);
             self.dispatcher
                 .attempt_finished(now, result, &mut self.commands);
         }
--- a/src/net/dispatcher/shutdown.rs
+++ b/src/net/dispatcher/shutdown.rs
@@ -57,17 +57,16 @@
         if let ShutdownPhase::ClosingConnections { deadline } = self.shutdown_phase {
             let all_closed = responses_delivered && self.all_connections_closed();
             if all_closed || deadline <= now {
-                self.log_unfinished_close(all_closed);
+                if !all_closed {
+                    self.log_unfinished_close();
+                }
                 self.shutdown_phase = ShutdownPhase::Finished;
             }
         }
     }
 
-    /// Says what is left if the time to close the connections is over.
-    fn log_unfinished_close(&self, all_closed: bool) {
-        if all_closed {
-            return;
-        }
+    /// Says what is left once the time to close the connections is over.
+    fn log_unfinished_close(&self) {
         log!(
             "ending with {} client connections open, {} bytes of their input unread, {} with unwritten responses",
             self.shared.client_sockets.get(),
--- a/src/net/engine/actor.rs
+++ b/src/net/engine/actor.rs
@@ -1,9 +1,7 @@
 //! The actor of one engine: assigns attempts to connections and opens new ones.
 use super::connection::Connection;
 use super::connection_handle::{ConnectionHandle, ConnectionStatus};
-use super::{
-    EndpointHandle, EngineCommand, MailboxSender, Peer, attempt_id, bounded, report_unsent,
-};
+use super::{EndpointHandle, EngineCommand, MailboxSender, Peer, bounded, report_unsent};
 use crate::backend::Protocol;
 use crate::backend::connection_state::ConnectionState;
 use crate::clock::{self, Micros, SEC};
@@ -102,7 +100,7 @@
         }
         while let Ok(command) = self.mailbox.try_recv() {
             if let EngineCommand::Start(request) = command {
-                report_unsent(&self.dispatcher, attempt_id(&request), Termination::Drained).await;
+                report_unsent(&self.dispatcher, request.attempt_id(), Termination::Drained).await;
             }
         }
     }
@@ -115,7 +113,7 @@
     async fn handle(&mut self, command: EngineCommand) {
         match command {
             EngineCommand::Start(request) => {
-                self.assigning = Some(attempt_id(&request));
+                self.assigning = Some(request.attempt_id());
                 self.start_attempt(request).await;
                 self.assigning = None;
             }
@@ -134,14 +132,14 @@
 
     async fn start_attempt(&mut self, request: AttemptRequest) {
         if self.endpoint.is_draining() {
-            report_unsent(&self.dispatcher, attempt_id(&request), Termination::Drained).await;
+            report_unsent(&self.dispatcher, request.attempt_id(), Termination::Drained).await;
             return;
         }
         // Otherwise the statement would run on the tables of another database.
         if names_database(&request) && !self.peer.options.supports_databases {
             report_unsent(
                 &self.dispatcher,
-                attempt_id(&request),
+                request.attempt_id(),
                 Termination::LocalLimit,
             )
             .await;
@@ -154,7 +152,7 @@
         if let Err(request) = connection.start_attempt(request) {
             report_unsent(
                 &self.dispatcher,
-                attempt_id(&request),
+                request.attempt_id(),
                 Termination::LocalLimit,
             )
             .await;
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -1,7 +1,7 @@
 //! The task of one connection to an engine: establishes it, and moves bytes between its socket and
 //! its [`ConnectionState`].
 use super::connection_handle::ConnectionStatus;
-use super::{EngineCommand, MailboxSender, Peer, attempt_id, report_unsent};
+use super::{EngineCommand, MailboxSender, Peer, report_unsent};
 use crate::backend::Protocol;
 use crate::backend::connection_state::{ConnectionEvent, ConnectionState, StartingAttempt};
 use crate::clock::{self, Micros, SEC};
@@ -92,7 +92,7 @@
         self.state.close(now, reason, &mut self.events);
         while let Ok(command) = self.mailbox.try_recv() {
             if let EngineCommand::Start(request) = command {
-                report_unsent(&self.dispatcher, attempt_id(&request), reason).await;
+                report_unsent(&self.dispatcher, request.attempt_id(), reason).await;
             }
         }
         self.report_events().await;
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -12,8 +12,8 @@
 use super::{CountGuard, Shared};
 use crate::backend::Protocol;
 use crate::clock::Micros;
-use crate::dispatcher::termination::{Termination, TransmitProgress};
-use crate::dispatcher::{AttemptId, AttemptReply, AttemptRequest, AttemptResult};
+use crate::dispatcher::termination::Termination;
+use crate::dispatcher::{AttemptId, AttemptRequest, AttemptResult};
 use crate::policy::api::{AttemptNo, EngineId, RequestId};
 use actor::EngineActor;
 use async_channel::Sender;
@@ -124,27 +124,13 @@
     commands
 }
 
-/// Which attempt is requested.
-fn attempt_id(request: &AttemptRequest) -> AttemptId {
-    AttemptId {
-        request: request.id,
-        attempt: request.attempt,
-    }
-}
-
 /// Reports an attempt that ended before a byte of it was sent.
 async fn report_unsent(
     dispatcher: &Sender<DispatcherEvent>,
     attempt: AttemptId,
     termination: Termination,
 ) {
-    let result = AttemptResult {
-        id: attempt.request,
-        attempt: attempt.attempt,
-        termination,
-        progress: TransmitProgress::Unsent,
-        reply: AttemptReply::default(),
-    };
+    let result = AttemptResult::unsent(attempt, termination);
     let event = DispatcherEvent::AttemptFinished(result);
     // Fails only while the program ends.
     let _ = dispatcher.send(event).await;
--- a/src/startup/sockets.rs
+++ b/src/startup/sockets.rs
@@ -6,6 +6,7 @@
 use crate::config::process::Config;
 use crate::log;
 use crate::net::address_claim::{AddressClaim, ManagerIdentity};
+use crate::net::audit;
 use crate::net::client;
 use crate::net::fleet::membership;
 use crate::net::hot_restart::{self, TransferredState};
@@ -63,7 +64,7 @@
             .as_ref()
             .map(|fleet| FleetSocket::open(fleet, config, transferred.is_some()))
             .transpose()?;
-        let identity = ManagerIdentity::new(&config.name, state_folder().as_deref());
+        let identity = ManagerIdentity::new(&config.name, audit::folder().ok().as_deref());
         let clickhouse_address = files.clickhouse.as_ref().map(|file| file.config.listen);
         let claims = claim_addresses(&identity, config.listen, clickhouse_address);
         let clients = listen(config, config.listen, &identity, &mut transferred)?;
@@ -114,11 +115,6 @@
     }
 }
 
-/// The folder whose files outlive the process.
-fn state_folder() -> Option<PathBuf> {
-    std::env::var_os("TMPDIR").map(PathBuf::from)
-}
-
 /// Publishes the claims before anything is bound: of two managers that start at once, the one that
 /// finds the address in use sees the other one's.
 fn claim_addresses(
--- a/src/testkit/clients/http.rs
+++ b/src/testkit/clients/http.rs
@@ -1,7 +1,7 @@
 //! HTTP clients: of the ClickHouse interface and of the admin endpoint, one request per connection.
 use super::{ClientOutcome, start_exchange};
 use crate::http::{Body, Head};
-use crate::testkit::engines::read_http;
+use crate::testkit::http_reader::read_http;
 use async_io::Async;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
 use futures_lite::AsyncWriteExt;
--- a/src/testkit/clients/sustained.rs
+++ b/src/testkit/clients/sustained/connection.rs
@@ -1,241 +1,31 @@
-//! Clients that go on sending on every connection that stays open, and a record of what became of
-//! each request. They run on a thread of their own, so that a test can signal the daemon meanwhile.
-use super::{
-    ClientOutcome, RpcRequest, http_request, keyed_line, parse_http_response, parse_rpc_response,
+//! One client of a sustained load, on one connection after the other.
+use super::record::{ConnectionEnd, SustainedRequest};
+use super::{Control, POLL_INTERVAL, Record, SustainedClass, SustainedLoadPlan, SustainedProtocol};
+use crate::http::Body;
+use crate::testkit::clients::{
+    ClientOutcome, READ_BYTES, RpcRequest, http_request, keyed_line, parse_http_response,
+    parse_rpc_response,
 };
-use crate::http::{self, Body, Head};
-use async_executor::LocalExecutor;
-use async_io::{Async, Timer, block_on};
+use crate::testkit::http_reader::HttpReader;
+use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::{Value, json};
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
-use std::ops::RangeInclusive;
-use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// A request that crosses the close of its connection within this time is to be sent again by the
-/// client, as the platform's protocol says.
-pub const CLOSE_CROSSING: Duration = Duration::from_millis(50);
 /// Requests that may be open on a connection, as the platform's protocol says.
 const MAX_OPEN_REQUESTS: usize = 32;
-/// How long [`SustainedLoad::finish`] waits for outstanding responses.
+/// How long the load's end waits for outstanding responses.
 const FINAL_RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Between two attempts to connect.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
 /// The longest body of a response over HTTP.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
-/// Between two looks at whether the load is to end.
-const POLL_INTERVAL: Duration = Duration::from_millis(2);
-/// The size of a read from a socket, in bytes.
-const READ_BYTES: usize = 8192;
-
-/// A class of the requests.
-#[derive(Clone, Copy, Debug)]
-pub struct SustainedClass {
-    /// Its name.
-    pub name: &'static str,
-    /// The statement, to which the request's name is added.
-    pub statement: &'static str,
-    /// Whether its requests carry an idempotency key.
-    pub is_keyed: bool,
-}
-
-/// The protocol of the clients.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SustainedProtocol {
-    /// The platform's, with several requests open on a connection.
-    JsonRpc,
-    /// The ClickHouse interface, with one at a time.
-    ClickHouse {
-        /// The user.
-        user: &'static str,
-        /// The user's key.
-        key: &'static str,
-    },
-}
-
-/// What the clients send.
-#[derive(Clone, Debug)]
-pub struct SustainedLoadPlan {
-    /// The connections.
-    pub connections: usize,
-    /// The mean time between two requests on one connection.
-    pub interval: Duration,
-    /// The protocol of all of them.
-    pub protocol: SustainedProtocol,
-    /// Drawn for each request.
-    pub classes: Vec<SustainedClass>,
-    /// The tenant of all requests.
-    pub tenant: &'static str,
-    /// How long clients wait for a response, in milliseconds; drawn for each request.
-    pub wait_ms: RangeInclusive<u64>,
-    /// How many in a hundred requests are cancelled before their response, where the protocol can.
-    pub cancelled_percent: u64,
-    /// How many in a hundred requests make their client leave, without waiting for what is open.
-    pub left_percent: u64,
-    /// Of the draws, and of the names of the requests: two loads on one daemon need different ones.
-    pub seed: u64,
-}
-
-/// How a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionEnd {
-    /// The daemon closed its side.
-    Closed,
-    /// The connection was reset.
-    Reset,
-    /// The client left.
-    Left,
-    /// The load's end: the client stopped waiting.
-    GivenUp,
-}
-
-/// What became of one request.
-#[derive(Clone, Debug)]
-pub struct SustainedRequest {
-    /// The index of its connection.
-    pub connection: usize,
-    /// Its class.
-    pub class: &'static str,
-    /// The client's name for it, which its statement carries too.
-    pub key: String,
-    /// How long the client waits.
-    pub wait: Duration,
-    /// When its last byte was written.
-    pub sent_at: Instant,
-    /// Its final responses, each with its time. There is to be one.
-    pub responses: Vec<(Instant, ClientOutcome)>,
-    /// Whether it was the first one on its connection.
-    pub is_first: bool,
-    /// When the client cancelled it. No response is owed from then on.
-    pub cancelled_at: Option<Instant>,
-    /// How its connection ended without a response, and when the client saw that.
-    pub connection_end: Option<(Instant, ConnectionEnd)>,
-}
-
-impl SustainedRequest {
-    /// Whether it has no response and its connection's end does not excuse that. `lag` is by how
-    /// much the client's own clock may be late in seeing that end.
-    pub fn is_lost(&self, lag: Duration) -> bool {
-        if !self.responses.is_empty() || self.cancelled_at.is_some() {
-            return false;
-        }
-        match self.connection_end {
-            Some((at, ConnectionEnd::Closed)) => at - self.sent_at > CLOSE_CROSSING + lag,
-            Some((_, ConnectionEnd::Left)) => false,
-            _ => true,
-        }
-    }
-}
-
-/// What became of all requests.
-#[derive(Clone, Debug, Default)]
-pub struct SustainedLoadReport {
-    /// In the order in which they were sent.
-    pub requests: Vec<SustainedRequest>,
-    /// Responses under an id that was never requested on the connection.
-    pub unexpected_responses: usize,
-    /// The longest time by which the clients' thread was late, from its own timer.
-    pub lag: Duration,
-}
-
-impl SustainedLoadReport {
-    /// The requests that are lost: without a response, and not excused.
-    pub fn lost(&self) -> Vec<&SustainedRequest> {
-        let requests = self.requests.iter();
-        requests.filter(|it| it.is_lost(self.lag)).collect()
-    }
-
-    /// The requests with more than one final response.
-    pub fn answered_twice(&self) -> Vec<&SustainedRequest> {
-        let requests = self.requests.iter();
-        requests.filter(|it| it.responses.len() > 1).collect()
-    }
-}
-
-/// What the test tells the clients.
-#[derive(Default)]
-struct Control {
-    /// No more requests.
-    stopped: AtomicBool,
-    /// A client whose connection ended makes no other one.
-    front_closed: AtomicBool,
-}
-
-/// Clients at work. Dropping it leaves them running to the end of the process.
-pub struct SustainedLoad {
-    control: Arc<Control>,
-    thread: JoinHandle<SustainedLoadReport>,
-}
-
-impl SustainedLoad {
-    /// Connects, and begins to send.
-    pub fn start(addr: SocketAddr, plan: SustainedLoadPlan) -> SustainedLoad {
-        let control = Arc::new(Control::default());
-        let thread_control = control.clone();
-        let thread = std::thread::spawn(move || run(addr, &plan, &thread_control));
-        SustainedLoad { control, thread }
-    }
-
-    /// Whether clients whose connections end make new ones: so they do but for a planned restart.
-    pub fn set_front_open(&self, is_open: bool) {
-        self.control.front_closed.store(!is_open, Ordering::Relaxed);
-    }
-
-    /// Sends no more, waits until each request has its response or its connection has ended, and
-    /// returns what became of all.
-    ///
-    /// # Panics
-    /// The clients' thread has panicked.
-    pub fn finish(self) -> SustainedLoadReport {
-        self.control.stopped.store(true, Ordering::Relaxed);
-        self.thread.join().expect("the clients do not panic")
-    }
-}
-
-/// The record that all connections write.
-type Record = Rc<RefCell<SustainedLoadReport>>;
-
-fn run(addr: SocketAddr, plan: &SustainedLoadPlan, control: &Control) -> SustainedLoadReport {
-    let executor = LocalExecutor::new();
-    let record = Record::default();
-    let connections: Vec<_> = (0..plan.connections)
-        .map(|index| {
-            let connection = SustainedConnection::new(index, plan, control, record.clone());
-            executor.spawn(connection.run(addr))
-        })
-        .collect();
-    let measure_lag = executor.spawn(measure_lag(record.clone()));
-    block_on(executor.run(async {
-        for connection in connections {
-            connection.await;
-        }
-        measure_lag.cancel().await;
-    }));
-    drop(executor);
-    Rc::try_unwrap(record)
-        .map(RefCell::into_inner)
-        .unwrap_or_default()
-}
-
-/// Records by how much this thread's timers are late.
-async fn measure_lag(record: Record) {
-    loop {
-        let due_at = Instant::now() + POLL_INTERVAL;
-        Timer::at(due_at).await;
-        let mut record = record.borrow_mut();
-        record.lag = record.lag.max(due_at.elapsed());
-    }
-}
-
 /// What wakes a connection's task.
 enum Wake {
     Read(std::io::Result<usize>),
@@ -243,7 +33,7 @@
 }
 
 /// One client connection.
-struct SustainedConnection<'a> {
+pub(super) struct SustainedConnection<'a> {
     index: usize,
     plan: &'a SustainedLoadPlan,
     control: &'a Control,
@@ -254,19 +44,12 @@
     sent: BTreeMap<u64, usize>,
     open: usize,
     input: Vec<u8>,
-    /// The response that is being read, over HTTP.
-    partial: Option<PartialResponse>,
-}
-
-/// A response over HTTP of which the head has been read.
-struct PartialResponse {
-    head: Head,
-    framing: Body,
-    body: Vec<u8>,
+    /// Reads the responses over HTTP.
+    http: HttpReader,
 }
 
 impl<'a> SustainedConnection<'a> {
-    fn new(
+    pub(super) fn new(
         index: usize,
         plan: &'a SustainedLoadPlan,
         control: &'a Control,
@@ -282,12 +65,12 @@
             sent: BTreeMap::new(),
             open: 0,
             input: Vec::new(),
-            partial: None,
+            http: new_http_reader(),
         }
     }
 
     /// Uses one connection after the other until the load's end.
-    async fn run(mut self, addr: SocketAddr) {
+    pub(super) async fn run(mut self, addr: SocketAddr) {
         while !self.control.stopped.load(Ordering::Relaxed) {
             if self.control.front_closed.load(Ordering::Relaxed) {
                 Timer::after(POLL_INTERVAL).await;
@@ -304,7 +87,7 @@
             self.sent.clear();
             self.open = 0;
             self.input.clear();
-            self.partial = None;
+            self.http = new_http_reader();
         }
     }
 
@@ -460,35 +243,16 @@
         }
     }
 
-    /// The next whole response over HTTP; one that can't be read counts as cut.
+    /// The next whole response over HTTP; what can't be read counts as cut.
     fn take_http_response(&mut self) -> Option<ClientOutcome> {
-        if self.partial.is_none() {
-            let Ok(head) = http::head(&self.input) else {
+        match self.http.take(&mut self.input) {
+            Ok(message) => message.map(|(head, body)| parse_http_response(&head, &body)),
+            Err(_) => {
                 self.input.clear();
-                return Some(ClientOutcome::Cut);
-            };
-            let (head, used) = head?;
-            self.input.drain(..used);
-            let framing = head.body(Body::UntilClose).ok()?;
-            self.partial = Some(PartialResponse {
-                head,
-                framing,
-                body: Vec::new(),
-            });
-        }
-        let partial = self.partial.as_mut()?;
-        let read = partial
-            .framing
-            .read(&self.input, &mut partial.body, MAX_RESPONSE_BYTES);
-        let Ok((used, is_complete)) = read else {
-            return Some(ClientOutcome::Cut);
-        };
-        self.input.drain(..used);
-        if !is_complete {
-            return None;
+                self.http = new_http_reader();
+                Some(ClientOutcome::Cut)
+            }
         }
-        let partial = self.partial.take()?;
-        Some(parse_http_response(&partial.head, &partial.body))
     }
 
     fn record_response(&mut self, line: &[u8]) {
@@ -523,6 +287,10 @@
     }
 }
 
+fn new_http_reader() -> HttpReader {
+    HttpReader::new(Body::UntilClose, MAX_RESPONSE_BYTES)
+}
+
 /// The client's name for a request: 16 hex digits.
 fn request_key(seed: u64, connection: usize, id: u64) -> String {
     let seed = seed & 0xffff_ffff;
--- a/src/testkit/engines/clickhouse.rs
+++ b/src/testkit/engines/clickhouse.rs
@@ -1,18 +1,14 @@
 //! A stand-in engine of the ClickHouse HTTP interface.
 use super::{EngineBehavior, EngineState, Stream, reset, rows, write};
-use crate::http::{self, Body, Head};
+use crate::http::Body;
 use crate::testkit::execution_log::{RunId, RunOutcome};
+use crate::testkit::http_reader::read_http;
 use crate::testkit::pause;
-use async_io::Async;
 use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use std::collections::BTreeMap;
-use std::net::TcpStream;
 use std::rc::Rc;
 
-const READ_BUFFER_BYTES: usize = 8_192;
-/// Longest body that is read.
-const MAX_BODY_BYTES: usize = 1 << 22;
 /// The exception `TOO_MANY_SIMULTANEOUS_QUERIES`.
 const TOO_MANY_SIMULTANEOUS_QUERIES: u32 = 202;
 /// The exception `MEMORY_LIMIT_EXCEEDED`.
@@ -25,38 +21,6 @@
     Close,
 }
 
-/// Reads one HTTP message; `None` once the peer has closed. `default_body` is the framing of a body
-/// that the head says nothing of.
-pub async fn read_http(
-    stream: &Async<TcpStream>,
-    input: &mut Vec<u8>,
-    default_body: Body,
-) -> Option<(Head, Vec<u8>)> {
-    let mut buffer = vec![0; READ_BUFFER_BYTES];
-    let mut body = Vec::new();
-    let mut partial: Option<(Head, Body)> = None;
-    loop {
-        if partial.is_none()
-            && let Some((head, used)) = http::head(input).ok()?
-        {
-            input.drain(..used);
-            let framing = head.body(default_body).ok()?;
-            partial = Some((head, framing));
-        }
-        if let Some((_, framing)) = &mut partial {
-            let (used, complete) = framing.read(input, &mut body, MAX_BODY_BYTES).ok()?;
-            input.drain(..used);
-            if complete {
-                return partial.map(|(head, _)| (head, body));
-            }
-        }
-        match (&*stream).read(&mut buffer).await {
-            Ok(count) if count > 0 => input.extend_from_slice(&buffer[..count]),
-            _ => return None,
-        }
-    }
-}
-
 /// Serves a connection to its end, one query after the other.
 pub(super) async fn serve(state: &Rc<EngineState>, stream: &Stream) {
     let mut input = Vec::new();
--- a/src/testkit/engines/mod.rs
+++ b/src/testkit/engines/mod.rs
@@ -3,8 +3,6 @@
 mod clickhouse;
 mod platform;
 
-pub use clickhouse::read_http;
-
 use super::{ExecutionLog, Executor, listener};
 use async_executor::Task;
 use async_io::Async;
--- a/src/testkit/fault_proxy.rs
+++ b/src/testkit/fault_proxy.rs
@@ -165,11 +165,6 @@
         lock(&self.state).faults = faults;
     }
 
-    /// Sets the real socket of a member that was restarted on another port.
-    pub fn set_member_addr(&self, member: usize, addr: SocketAddr) {
-        lock(&self.state).member_addrs[member] = addr;
-    }
-
     /// Reads the counters.
     pub fn counts(&self) -> ProxyCounts {
         lock(&self.state).counts
--- a/src/testkit/mod.rs
+++ b/src/testkit/mod.rs
@@ -10,6 +10,7 @@
 pub mod execution_log;
 pub mod fault_proxy;
 pub mod fleet;
+pub mod http_reader;
 pub mod membership_simulation;
 pub mod plot;
 pub mod ports;
--- a/tests/listen_address.rs
+++ b/tests/listen_address.rs
@@ -27,15 +27,15 @@
 }
 
 /// A process, killed when it is dropped.
-struct Manager {
+struct RunningDaemon {
     child: Child,
     admin_addr: SocketAddr,
     log_path: PathBuf,
 }
 
-impl Manager {
+impl RunningDaemon {
     /// Starts a manager of that name at that client address.
-    fn start(name: &str, listen: SocketAddr, files: &Folder, state: StateFolder) -> Manager {
+    fn start(name: &str, listen: SocketAddr, files: &Folder, state: StateFolder) -> RunningDaemon {
         let known_events = known(&[], &ZONES, &KINDS);
         let mut config = daemon::config(listen, reserve_addr(), &known_events, 64);
         config["name"] = name.into();
@@ -57,7 +57,7 @@
         if let StateFolder::At(folder) = state {
             command.env("TMPDIR", folder.path(""));
         }
-        Manager {
+        RunningDaemon {
             child: command.spawn().expect("the program starts"),
             admin_addr,
             log_path,
@@ -110,7 +110,7 @@
     }
 }
 
-impl Drop for Manager {
+impl Drop for RunningDaemon {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -139,7 +139,7 @@
     let folders = Folders::new();
     let listen = reserve_addr();
     let state = StateFolder::At(&folders.one);
-    let mut first = Manager::start("first", listen, &folders.files, state);
+    let mut first = RunningDaemon::start("first", listen, &folders.files, state);
     assert!(first.becomes_ready(), "{}", first.log());
 
     let cases = [
@@ -150,7 +150,7 @@
         ("first", StateFolder::At(&folders.other)),
     ];
     for (name, state) in cases {
-        let mut second = Manager::start(name, listen, &folders.files, state);
+        let mut second = RunningDaemon::start(name, listen, &folders.files, state);
         second.assert_kept_out_by(listen, "first");
     }
     assert!(first.is_ready() && first.poll_exit().is_none());
@@ -162,13 +162,13 @@
     let folders = Folders::new();
     let listen = reserve_addr();
     let state = StateFolder::At(&folders.one);
-    let mut first = Manager::start("first", listen, &folders.files, state);
+    let mut first = RunningDaemon::start("first", listen, &folders.files, state);
     assert!(first.becomes_ready(), "{}", first.log());
     first.signal(Signal::STOP);
 
-    let mut second = Manager::start("second", listen, &folders.files, state);
+    let mut second = RunningDaemon::start("second", listen, &folders.files, state);
     second.assert_kept_out_by(listen, "first");
-    let mut next = Manager::start("first", listen, &folders.files, state);
+    let mut next = RunningDaemon::start("first", listen, &folders.files, state);
     assert!(next.becomes_ready(), "{}", next.log());
     first.signal(Signal::CONT);
 }
@@ -180,10 +180,10 @@
     let folders = Folders::new();
     let listen = reserve_addr();
     let unset = StateFolder::Unset;
-    let mut first = Manager::start("first", listen, &folders.files, unset);
+    let mut first = RunningDaemon::start("first", listen, &folders.files, unset);
     assert!(first.becomes_ready(), "{}", first.log());
 
-    let mut next = Manager::start("first", listen, &folders.files, unset);
+    let mut next = RunningDaemon::start("first", listen, &folders.files, unset);
     assert!(next.becomes_ready(), "{}", next.log());
     let shared = format!("{listen} is shared with");
     assert!(next.log().contains(&shared), "{}", next.log());
@@ -196,10 +196,10 @@
     for _ in 0..10 {
         let listen = reserve_addr();
         let state = StateFolder::At(&folders.one);
-        let mut managers =
-            ["first", "second"].map(|name| Manager::start(name, listen, &folders.files, state));
-        let ready = managers.each_mut().map(Manager::becomes_ready);
-        let logs = managers.each_ref().map(Manager::log);
+        let mut managers = ["first", "second"]
+            .map(|name| RunningDaemon::start(name, listen, &folders.files, state));
+        let ready = managers.each_mut().map(RunningDaemon::becomes_ready);
+        let logs = managers.each_ref().map(RunningDaemon::log);
         assert_eq!(ready.iter().filter(|ready| **ready).count(), 1, "{logs:?}");
     }
 }
@@ -212,7 +212,7 @@
     let listen = reserve_addr();
     let state = StateFolder::At(&folders.one);
     for name in ["first", "second", "first"] {
-        let mut manager = Manager::start(name, listen, &folders.files, state);
+        let mut manager = RunningDaemon::start(name, listen, &folders.files, state);
         assert!(manager.becomes_ready(), "{}", manager.log());
         manager.signal(Signal::KILL);
         manager.child.wait().expect("its end");
@@ -227,7 +227,7 @@
     let stranger = shared_listener();
     let listen = stranger.local_addr().expect("an address");
     let state = StateFolder::At(&folders.one);
-    let mut manager = Manager::start("first", listen, &folders.files, state);
+    let mut manager = RunningDaemon::start("first", listen, &folders.files, state);
     assert!(manager.becomes_ready(), "{}", manager.log());
     let shared = format!("{listen} is shared with a process that can't be told");
     assert!(manager.log().contains(&shared), "{}", manager.log());
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -19,7 +19,7 @@
 mod stand_ins;
 
 use checks::{Checked, Counts};
-use manager::Manager;
+use manager::TestManager;
 use plan::{RUN_MILLIS, SettingsKind, SoakPlan, WorldEvent};
 use stand_ins::StandIns;
 use std::sync::Arc;
@@ -64,10 +64,10 @@
         StandInThread::start(move |executor| StandIns::start(executor, engines, limits));
     let (coordinator, initial_list) =
         stand_ins.call(|it, _| (it.coordinator_addr(), it.initial_list()));
-    let managers: Vec<Arc<Manager>> = (plan.managers.iter().cloned().enumerate())
+    let managers: Vec<Arc<TestManager>> = (plan.managers.iter().cloned().enumerate())
         .map(|(index, plan_of_one)| {
             let list = initial_list.clone();
-            let manager = Manager::start(index, plan.settings, plan_of_one, coordinator, list);
+            let manager = TestManager::start(index, plan.settings, plan_of_one, coordinator, list);
             Arc::new(manager)
         })
         .collect();
@@ -76,7 +76,11 @@
 }
 
 /// Plays what was drawn, with the load beside it.
-fn play_events(plan: &SoakPlan, managers: &[Arc<Manager>], stand_ins: &StandInThread<StandIns>) {
+fn play_events(
+    plan: &SoakPlan,
+    managers: &[Arc<TestManager>],
+    stand_ins: &StandInThread<StandIns>,
+) {
     let started_at = Instant::now();
     let scripts: Vec<_> = managers
         .iter()
@@ -122,7 +126,7 @@
 
 fn play_world_event(
     step: WorldStep,
-    managers: &[Arc<Manager>],
+    managers: &[Arc<TestManager>],
     stand_ins: &StandInThread<StandIns>,
 ) {
     let event = match step {
@@ -149,7 +153,7 @@
 /// Ends the load and the managers, and checks the records.
 fn finish(
     plan: &SoakPlan,
-    managers: &[Arc<Manager>],
+    managers: &[Arc<TestManager>],
     stand_ins: &StandInThread<StandIns>,
 ) -> Outcome {
     let mut outcome = Outcome {
--- a/tests/soak/manager.rs
+++ b/tests/soak/manager.rs
@@ -113,7 +113,7 @@
 }
 
 /// A manager with its present process.
-pub(crate) struct Manager {
+pub(crate) struct TestManager {
     name: String,
     settings: SettingsKind,
     plan: ManagerPlan,
@@ -133,7 +133,7 @@
     mutex.lock().expect("no thread of the run panics")
 }
 
-impl Manager {
+impl TestManager {
     /// Starts its first process and waits until it is ready.
     pub(crate) fn start(
         index: usize,
@@ -141,8 +141,8 @@
         plan: ManagerPlan,
         coordinator: SocketAddr,
         initial_list: Value,
-    ) -> Manager {
-        let manager = Manager {
+    ) -> TestManager {
+        let manager = TestManager {
             name: format!("m{index}"),
             settings,
             plan,
