Let the sustained clients wait for their last responses without spinning

Seen: the test kit's clients measure by how much their own thread is late, and the checks add that lag to each bound. At the end of a load the lag was as long as the slowest response, up to 3.7 s, so that responses 0.64 s late passed.

Cause: a client that has stopped kept the time of its next request as the time at which it wakes up. Once that was past, its timer was ready at each poll, the loop never returned to the executor, and the other connections and the measurement of the lag stood still.

Change: a client that has stopped wakes up at the interval of its polls alone.

--- a/src/testkit/clients/sustained/connection.rs
+++ b/src/testkit/clients/sustained/connection.rs
@@ -105,7 +105,13 @@
                 }
             }
             let read = async { Wake::Read((&*stream).read(&mut buffer).await) };
-            let wake_at = next_send_at.min(Instant::now() + POLL_INTERVAL);
+            let poll_at = Instant::now() + POLL_INTERVAL;
+            // A client that has stopped has no next request: its time would be over at every turn.
+            let wake_at = if stopped {
+                poll_at
+            } else {
+                next_send_at.min(poll_at)
+            };
             let timer = async {
                 Timer::at(wake_at).await;
                 Wake::Timer
