Defer no client's requests for the responses that others leave unread

Found by reading; not seen with an operator.

Cause: the limit over all connections deferred the input of each connection, whatever its own part.

Evidence: unread_responses_of_other_clients_defer_no_request failed before (the request was never forwarded) and passes.

--- a/src/net/client/wait.rs
+++ b/src/net/client/wait.rs
@@ -1,4 +1,5 @@
 //! What a client connection waits for: its deadlines, and the event that wakes it.
+use super::buffers::IDLE_CAPACITY_BYTES;
 use super::connection::{ClientConnection, read_into_shared_buffer};
 use crate::clock::{MS, Micros, SEC};
 use crate::dispatcher::Response;
@@ -45,7 +46,7 @@
 pub(super) struct Throttle {
     /// The pacing of its messages defers them until this time.
     pub(super) resumes_at: Option<Micros>,
-    /// Too many bytes wait to be written, to this client or to all.
+    /// Too many bytes wait to be written to this client, or to all and some of them to this one.
     pub(super) output_is_full: bool,
 }
 
@@ -96,6 +97,8 @@
         let unwritten = self.output.update_quota();
         let over_shared_limit =
             self.shared.unwritten_bytes.get() > self.shared.max_unwritten_bytes.get();
+        // A client that reads its responses does not wait for those that do not.
+        let reads_slowly = unwritten > IDLE_CAPACITY_BYTES;
         let lifecycle = self.shared.lifecycle.borrow();
         // Where new requests are rejected anyway, the connection has to become quiet: what is deferred
         // is answered at once.
@@ -104,7 +107,7 @@
         Throttle {
             resumes_at: resumes_at.filter(|at| *at > now),
             output_is_full: unwritten > MAX_UNWRITTEN_BYTES
-                || over_shared_limit && !lifecycle.is_closing(),
+                || over_shared_limit && reads_slowly && !lifecycle.is_closing(),
         }
     }
 
--- a/tests/unit/net_client.rs
+++ b/tests/unit/net_client.rs
@@ -706,3 +706,18 @@
         assert_eq!(count_unaccepted(shared), 0);
     }
 }
+
+/// Guards a client that reads its responses against those that do not.
+#[test]
+fn unread_responses_of_other_clients_defer_no_request() {
+    let fixture = Fixture::connected();
+    let shared = &fixture.shared;
+    shared
+        .unwritten_bytes
+        .set(shared.max_unwritten_bytes.get() + 1);
+
+    fixture.write(&request_line(1));
+
+    assert_eq!(fixture.wait_for(requested_tag).event, 1);
+    fixture.close();
+}
