Give each rejection its reason, and count and log it

Cause: Action::Reject carried no reason, and the counts were by class alone.

Change: RejectionReason, one variant for each place of the decision module that rejects; RejectionCause adds the dispatcher's own two and the frontends'. Counted by class, tenant and cause (app.rejections.CLASS.TENANT.CAUSE, the tenant by its place in the settings' list), and logged in at most one line a second with the three most frequent causes. The answer to the client and the simulator's frames are as before.

The model of the dispatcher checks that each rejection has just one cause; unit tests hold the metric's lines and the log line.

--- a/src/bin/yokelift-sim-adapter/writer.rs
+++ b/src/bin/yokelift-sim-adapter/writer.rs
@@ -64,7 +64,9 @@
             put_engine(reply, *engine);
         }
         Action::FetchEndpointList => {}
-        Action::Reject { id, retry_after } => {
+        Action::Reject {
+            id, retry_after, ..
+        } => {
             reply.put_u32(id.0);
             reply.put_u64(*retry_after);
         }
--- a/src/dispatcher/actions.rs
+++ b/src/dispatcher/actions.rs
@@ -1,4 +1,5 @@
 //! Calls of the decision module, and the actions that it returns.
+use super::rejection::RejectionCause;
 use super::termination::Termination;
 use super::{Command, Dispatcher, Failure};
 use crate::clock::{Micros, micros, nanos};
@@ -29,8 +30,13 @@
                 memory_mb,
             } => self.set_attempt_options(id, priority, memory_mb, commands),
             Action::Cancel { id, attempt } => self.apply_cancel(id, attempt, commands),
-            Action::Reject { id, retry_after } => {
-                self.reject_request(id, micros(retry_after), commands);
+            Action::Reject {
+                id,
+                retry_after,
+                reason,
+            } => {
+                let cause = RejectionCause::Decided(reason);
+                self.reject_request(id, micros(retry_after), cause, commands);
             }
             Action::Fail { id } => self.fail_request(id, self.failure_reason(id), commands),
             Action::StartTimer { after, token } => self.start_timer(now, after, token),
--- a/src/dispatcher/client_requests.rs
+++ b/src/dispatcher/client_requests.rs
@@ -1,5 +1,6 @@
 //! Requests from clients: admission to the in-flight table, and cancellation.
 use super::in_flight::InFlightRequest;
+use super::rejection::RejectionCause;
 use super::responses::RETRY_AFTER_SHUTDOWN;
 use super::termination::Termination;
 use super::timers::DEADLINE_GRACE;
@@ -16,6 +17,42 @@
 /// enabled.
 const MAX_CONCURRENT_ATTEMPTS: usize = 2;
 
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AdmissionError {
+    /// The process admits no more requests.
+    ShutDown,
+    /// Its class is not known, or its origin still waits for another response.
+    NotAcceptable,
+    /// Its client request id is in use.
+    IdInUse,
+    /// The statements in flight have reached their limit.
+    StatementMemory,
+}
+
+impl AdmissionError {
+    /// The final response.
+    fn response(self) -> Response {
+        match self {
+            AdmissionError::ShutDown => Response::Rejected(Some(RETRY_AFTER_SHUTDOWN)),
+            AdmissionError::NotAcceptable => Response::Failed(Failure::NotSent),
+            AdmissionError::IdInUse => Response::Failed(Failure::InUse),
+            AdmissionError::StatementMemory => {
+                Response::Rejected(Some(RETRY_AFTER_STATEMENT_LIMIT))
+            }
+        }
+    }
+
+    /// Why it counts as rejected; `None` if it failed.
+    fn rejection_cause(self) -> Option<RejectionCause> {
+        match self {
+            AdmissionError::ShutDown => Some(RejectionCause::ShutDown),
+            AdmissionError::StatementMemory => Some(RejectionCause::StatementMemory),
+            AdmissionError::NotAcceptable | AdmissionError::IdInUse => None,
+        }
+    }
+}
+
 impl Dispatcher {
     /// A client sent a request. It is either admitted to the in-flight table or gets its final
     /// response at once.
@@ -28,15 +65,20 @@
         self.counters.received += 1;
         match self.check_admission(&request) {
             Ok(idempotency) => self.admit_request(now, request, idempotency, commands),
-            Err(response) => self.respond_without_admission(&request, response, commands),
+            Err(error) => {
+                if let Some(cause) = error.rejection_cause() {
+                    self.count_rejection(request.class, Some(request.tenant), cause);
+                }
+                self.respond_without_admission(&request, error.response(), commands);
+            }
         }
     }
 
-    /// Whether the request may be admitted: how it may be repeated, or else its final response.
-    fn check_admission(&self, request: &ClientRequest) -> Result<Idempotency, Response> {
+    /// Whether the request may be admitted, and how it may be repeated then.
+    fn check_admission(&self, request: &ClientRequest) -> Result<Idempotency, AdmissionError> {
         // It waited in the mailbox while the others were ended. Nobody would end it.
         if !self.admits_requests {
-            return Err(Response::Rejected(Some(RETRY_AFTER_SHUTDOWN)));
+            return Err(AdmissionError::ShutDown);
         }
         // A second request from an origin that still waits would receive the first one's response.
         let is_waiting = self.requests_by_origin.contains_key(&request.origin);
@@ -45,17 +87,17 @@
             .class(request.class)
             .filter(|_| !is_waiting)
         else {
-            return Err(Response::Failed(Failure::NotSent));
+            return Err(AdmissionError::NotAcceptable);
         };
         // Engines and clients tell requests apart by the client request id: a second request with
         // the id of the first would pass for its next attempt, or take its response.
         if self.known_request_ids.contains(&request.client_request_id) {
-            return Err(Response::Failed(Failure::InUse));
+            return Err(AdmissionError::IdInUse);
         }
         // The decision module does not know the length of statements, so this limit is applied
         // here.
         if self.statement_bytes + request.statement.len() > self.max_statement_bytes {
-            return Err(Response::Rejected(Some(RETRY_AFTER_STATEMENT_LIMIT)));
+            return Err(AdmissionError::StatementMemory);
         }
         Ok(effective_idempotency(class.spec.idempotency, request))
     }
--- a/src/dispatcher/metrics.rs
+++ b/src/dispatcher/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of requests, responses and attempts. Printed on SIGUSR1 and at exit, and published by
 //! the admin endpoint.
 use super::message::Response;
+use super::rejection::RejectionKey;
 use super::termination::Termination;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -22,6 +23,8 @@
 pub struct MetricsSnapshot {
     /// Responses by the name of the class, including classes that are no longer configured.
     pub classes: BTreeMap<Rc<str>, ClassMetrics>,
+    /// Rejections by class, tenant and cause.
+    pub rejections: BTreeMap<RejectionKey, u64>,
     /// Attempts completely written to engines.
     pub dispatches: u64,
     /// Requests received that have neither a response nor been abandoned.
@@ -81,6 +84,10 @@
     pub reload_failures: u64,
     /// Final responses by the name of the class, including those that a frontend sent by itself.
     pub responses_by_class: BTreeMap<Rc<str>, ClassMetrics>,
+    /// Rejections by class, tenant and cause, including those by a frontend.
+    pub rejections: BTreeMap<RejectionKey, u64>,
+    /// The sum of `rejections`.
+    pub total_rejections: u64,
     /// Attempts by how they ended.
     pub attempts_by_termination: BTreeMap<Termination, u64>,
 }
@@ -99,6 +106,12 @@
         }
     }
 
+    /// Counts a rejection.
+    pub(super) fn count_rejection(&mut self, key: RejectionKey) {
+        *self.rejections.entry(key).or_default() += 1;
+        self.total_rejections += 1;
+    }
+
     /// Counts a response to a request of this class.
     pub(super) fn count_class_response(&mut self, class_name: &Rc<str>, response: &Response) {
         let class = self
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod metrics;
 mod recording;
+pub mod rejection;
 mod responses;
 pub mod termination;
 mod timers;
--- a/src/dispatcher/recording.rs
+++ b/src/dispatcher/recording.rs
@@ -1,9 +1,10 @@
 //! What is recorded of requests: counters of responses, and decisions for the audit.
 use super::metrics::MetricsSnapshot;
+use super::rejection::{RejectionCause, RejectionKey};
 use super::{Dispatcher, Response};
 use crate::audit::{Decision, DecisionKind};
 use crate::clock::MS;
-use crate::policy::api::ClassId;
+use crate::policy::api::{ClassId, TenantId};
 use std::rc::Rc;
 
 impl Dispatcher {
@@ -74,6 +75,24 @@
         self.count_class_response(class, response);
     }
 
+    /// Counts a rejection by its class, tenant and cause.
+    pub(super) fn count_rejection(
+        &mut self,
+        class: ClassId,
+        tenant: Option<TenantId>,
+        cause: RejectionCause,
+    ) {
+        let Some(class) = self.class_registry.class(class) else {
+            return;
+        };
+        let key = RejectionKey {
+            class: class.name.clone(),
+            tenant,
+            cause,
+        };
+        self.counters.count_rejection(key);
+    }
+
     fn count_class_response(&mut self, class: ClassId, response: &Response) {
         if let Some(class) = self.class_registry.class(class) {
             self.counters.count_class_response(&class.name, response);
@@ -85,6 +104,9 @@
         if self.decisions.is_some() {
             self.record_response(class, &Rc::from(""), response);
         }
+        if matches!(response, Response::Rejected(_)) {
+            self.count_rejection(class, None, RejectionCause::Frontend);
+        }
         self.count_class_response(class, response);
     }
 
@@ -93,6 +115,7 @@
     pub fn metrics(&self) -> MetricsSnapshot {
         MetricsSnapshot {
             classes: self.counters.responses_by_class.clone(),
+            rejections: self.counters.rejections.clone(),
             dispatches: 0,
             concurrent: self.counters.open(),
             targets: self.endpoints.len() as u64,
--- a/src/dispatcher/responses.rs
+++ b/src/dispatcher/responses.rs
@@ -1,4 +1,5 @@
 //! Final responses: exactly one a request, and the removal of requests that are finished.
+use super::rejection::RejectionCause;
 use super::termination::Termination;
 use super::timers::DEADLINE_GRACE;
 use super::{Command, Dispatcher, Failure, Response};
@@ -20,6 +21,7 @@
         &mut self,
         id: RequestId,
         retry_after: Micros,
+        cause: RejectionCause,
         commands: &mut Vec<Command>,
     ) {
         let Some(request) = self.in_flight.get(&id).filter(|request| !request.closed) else {
@@ -29,6 +31,8 @@
             self.counters.blocked_actions += 1;
             return self.fail_request(id, Failure::NotSent, commands);
         }
+        let (class, tenant) = (request.request.class, request.request.tenant);
+        self.count_rejection(class, Some(tenant), cause);
         let retry_after = Some(retry_after).filter(|after| *after > 0);
         self.close_request(id, Response::Rejected(retry_after), commands);
     }
@@ -60,7 +64,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in open {
-            self.reject_request(id, RETRY_AFTER_SHUTDOWN, commands);
+            self.reject_request(id, RETRY_AFTER_SHUTDOWN, RejectionCause::ShutDown, commands);
             self.handle_event(now, Event::ClientDisconnected(id), commands);
         }
     }
--- a/src/frontend/admin/metrics.rs
+++ b/src/frontend/admin/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics as operators' scrapers read them: one a line, `name:value|kind`.
 use crate::dispatcher::metrics::{ClassMetrics, MetricsSnapshot};
+use crate::dispatcher::rejection::RejectionKey;
 use std::fmt;
 
 /// The kind of a metric, by its letter in the text.
@@ -26,7 +27,14 @@
         .classes
         .iter()
         .map(|(class, metrics)| class_lines(class, metrics));
-    class_lines.chain([process_lines(snapshot)]).collect()
+    let rejection_lines = snapshot
+        .rejections
+        .iter()
+        .map(|(key, count)| rejection_line(key, *count));
+    class_lines
+        .chain([process_lines(snapshot)])
+        .chain(rejection_lines)
+        .collect()
 }
 
 fn class_lines(class: &str, metrics: &ClassMetrics) -> String {
@@ -44,6 +52,15 @@
     .concat()
 }
 
+/// The tenant is its place in the list of the settings, or `-` where it was not known.
+fn rejection_line(key: &RejectionKey, count: u64) -> String {
+    let (class, tenant, cause) = (&key.class, key.tenant_text(), key.cause.as_str());
+    format!(
+        "app.rejections.{class}.{tenant}.{cause}:{count}|{}\n",
+        Kind::Counter
+    )
+}
+
 fn process_lines(snapshot: &MetricsSnapshot) -> String {
     [
         ("dispatches", snapshot.dispatches, Kind::Counter),
--- a/src/net/dispatcher/mod.rs
+++ b/src/net/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod event_handling;
 mod lifecycle_watch;
+mod rejection_log;
 mod shutdown;
 
 pub use event::{DispatcherEvent, EndpointListUpdate, Reconfiguration};
@@ -15,10 +16,12 @@
 use crate::audit::ActiveConfiguration;
 use crate::clock::{self, MS, Micros};
 use crate::dispatcher::{Command, Dispatcher, Response};
+use crate::log;
 use crate::policy::api::EngineId;
 use async_channel::{Receiver, Sender};
 use futures_lite::future::or;
 use lifecycle_watch::LifecycleWatch;
+use rejection_log::RejectionLog;
 use shutdown::ShutdownPhase;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -51,6 +54,7 @@
     lifecycle_watch: LifecycleWatch,
     /// When the metrics for the admin endpoint were updated last.
     metrics_updated_at: Micros,
+    rejection_log: RejectionLog,
     shutdown_phase: ShutdownPhase,
     /// The requests in flight were ended, since the process is about to be killed.
     requests_ended: bool,
@@ -107,6 +111,7 @@
             lease_requests: None,
             lifecycle_watch: LifecycleWatch::new(),
             metrics_updated_at: 0,
+            rejection_log: RejectionLog::default(),
             shutdown_phase: ShutdownPhase::Serving,
             requests_ended: false,
         }
@@ -165,6 +170,7 @@
             }
         }
         self.publish_metrics(now);
+        self.log_rejections(now);
         if let Some(share) = self.lifecycle_watch.check(&self.shared, now) {
             self.dispatcher.set_capacity_share(share);
         }
@@ -183,6 +189,16 @@
         }
     }
 
+    fn log_rejections(&mut self, now: Micros) {
+        let counters = &self.dispatcher.counters;
+        let line = self
+            .rejection_log
+            .line(now, counters.total_rejections, &counters.rejections);
+        if let Some(line) = line {
+            log!("{line}");
+        }
+    }
+
     /// Passes the decisions since the last call to the audit.
     fn write_audit(&mut self, now: Micros) {
         if let Some(audit) = &mut self.audit {
--- a/src/policy/admission_queue.rs
+++ b/src/policy/admission_queue.rs
@@ -5,7 +5,7 @@
 use super::state::request::PendingRequest;
 use super::state::units::nanos;
 use super::tuning::{MIN_TIME_LEFT_SHARE, SWEEP_INTERVAL, USUAL_UTILIZATION};
-use crate::policy::api::{Action, Nanos, RequestId};
+use crate::policy::api::{Action, Nanos, RejectionReason, RequestId};
 
 /// Queued requests tried after one event: its cost must not grow with the queue.
 const MAX_DISPATCH_TRIES: usize = 32;
@@ -118,9 +118,20 @@
             let is_too_late = rate > 0.0 && done_at > self.useful_until(request);
             let is_past_deadline = now + deadline_margin >= self.latest_end(request);
             let is_hopeless = rate <= 0.0 && self.is_stopping();
-            if is_too_late || is_past_deadline || is_hopeless || !request.may_start_attempt() {
+            let reason = if is_hopeless {
+                Some(RejectionReason::NoEngineWhileStopping)
+            } else if is_past_deadline {
+                Some(RejectionReason::DeadlineNear)
+            } else if is_too_late {
+                Some(RejectionReason::BacklogTooLong)
+            } else if !request.may_start_attempt() {
+                Some(RejectionReason::AttemptsExhausted)
+            } else {
+                None
+            };
+            if let Some(reason) = reason {
                 let retry_after = nanos(wait.max(MIN_RETRY_AFTER_SECONDS));
-                self.reject_or_fail(entry.id, retry_after, actions);
+                self.reject_or_fail(entry.id, retry_after, reason, actions);
             } else {
                 work_ahead += self.expected_work(request);
                 self.queue.push(entry);
--- a/src/policy/api/action.rs
+++ b/src/policy/api/action.rs
@@ -1,6 +1,6 @@
 //! What the module orders its host to do.
 
-use super::{AttemptNo, EngineId, Nanos, RequestId};
+use super::{AttemptNo, EngineId, Nanos, RejectionReason, RequestId};
 
 /// An action that the module orders in response to an event. The host carries actions out in order.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,6 +37,8 @@
         id: RequestId,
         /// Retry-After time to state; 0 for none.
         retry_after: Nanos,
+        /// Why; for the operators alone.
+        reason: RejectionReason,
     },
     /// Final response: failed. Nothing is promised about a retry: the request may have run.
     Fail {
--- a/src/policy/api/mod.rs
+++ b/src/policy/api/mod.rs
@@ -3,7 +3,8 @@
 //! - `ids`: identifiers and the unit of time;
 //! - `settings`: what the module is configured with, and the invariants it has to keep;
 //! - `event`: what the module is informed of (endpoint lists, requests, outcomes, timers);
-//! - `action`: what the module orders in response.
+//! - `action`: what the module orders in response;
+//! - `rejection`: why it rejects requests.
 //!
 //! Every item is re-exported here, so callers name it `policy::api::Item`.
 //!
@@ -32,6 +33,7 @@
 mod action;
 mod event;
 mod ids;
+mod rejection;
 mod settings;
 
 pub use action::Action;
@@ -43,6 +45,7 @@
     AttemptNo, CellId, ClassId, EngineId, MachineTypeId, Nanos, OrderKey, RequestId, TenantId,
     ZoneId,
 };
+pub use rejection::RejectionReason;
 pub use settings::{
     ClassSpec, DeduplicationScope, Idempotency, Invariants, Limits, LoadField, MachineTypeSpec,
     MemoryExhaustionPolicy, RetryBudget, Settings, TenantSpec,
--- a/src/policy/hedging.rs
+++ b/src/policy/hedging.rs
@@ -4,7 +4,7 @@
 use super::state::units::{nanos, seconds};
 use super::tuning::{MIN_TIME_LEFT_SHARE, SWEEP_INTERVAL, USUAL_UTILIZATION};
 use crate::policy::api::{
-    Action, AttemptNo, EngineId, Idempotency, Nanos, ProgressUpdate, RequestId,
+    Action, AttemptNo, EngineId, Idempotency, Nanos, ProgressUpdate, RejectionReason, RequestId,
 };
 
 /// A query plan is bad if its progress points to this many times the tail of its class.
@@ -82,7 +82,7 @@
         self.cancel_budget.spend();
         self.cancel(id, number, actions);
         if verdict == PlanVerdict::Abandon {
-            self.reject_or_fail(id, SWEEP_INTERVAL, actions);
+            self.reject_or_fail(id, SWEEP_INTERVAL, RejectionReason::PlanAbandoned, actions);
         }
     }
 
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -4,7 +4,9 @@
 use super::state::request::{Attempt, PendingRequest, PossibleExecution, is_placement_allowed};
 use super::state::units::{nanos, seconds};
 use super::tuning::SWEEP_INTERVAL;
-use crate::policy::api::{Action, EngineId, Nanos, Outcome, OutcomeKind, Request, RequestId};
+use crate::policy::api::{
+    Action, EngineId, Nanos, Outcome, OutcomeKind, RejectionReason, Request, RequestId,
+};
 use rand_core::Rng;
 
 /// Least factor on the wait that a rejection advises; the factor is spread over a width of 1, lest
@@ -37,7 +39,7 @@
         let outlives_process = self.outlives_process(now, &pending);
         self.requests.insert(id, pending);
         if outlives_process {
-            self.reject_or_fail(id, SWEEP_INTERVAL, actions);
+            self.reject_or_fail(id, SWEEP_INTERVAL, RejectionReason::ProcessStops, actions);
             return;
         }
         self.probe_candidates(now, id, actions);
@@ -163,11 +165,27 @@
         if !request.attempts.is_empty() {
             return;
         }
+        match self.reason_against_retry(now, request) {
+            None => self.enqueue(now, id),
+            Some(reason) => self.reject_or_fail(id, SWEEP_INTERVAL, reason, actions),
+        }
+    }
+
+    /// Why the request gets no further attempt; `None` if it may get one.
+    fn reason_against_retry(
+        &self,
+        now: Nanos,
+        request: &PendingRequest,
+    ) -> Option<RejectionReason> {
         let has_time = now + nanos(self.unloaded_seconds(request)) < self.latest_end(request);
-        if has_time && self.idempotency_allows(now, request, None) && request.may_start_attempt() {
-            self.enqueue(now, id);
+        if !has_time {
+            Some(RejectionReason::NoTimeToRetry)
+        } else if !self.idempotency_allows(now, request, None) {
+            Some(RejectionReason::RetryNotAllowed)
+        } else if !request.may_start_attempt() {
+            Some(RejectionReason::AttemptsExhausted)
         } else {
-            self.reject_or_fail(id, SWEEP_INTERVAL, actions);
+            None
         }
     }
 
@@ -178,6 +196,7 @@
         &mut self,
         id: RequestId,
         retry_after: Nanos,
+        reason: RejectionReason,
         actions: &mut Vec<Action>,
     ) {
         let pending = self.requests.get(&id);
@@ -198,7 +217,11 @@
                 self.tenant_quotas.refund(tenant);
             }
             let retry_after = self.spread_retry_after(retry_after);
-            actions.push(Action::Reject { id, retry_after });
+            actions.push(Action::Reject {
+                id,
+                retry_after,
+                reason,
+            });
         } else {
             actions.push(Action::Fail { id });
         }
--- a/tests/policy/admission.rs
+++ b/tests/policy/admission.rs
@@ -120,7 +120,9 @@
             .for_each(|id| actions.extend(gateway.submit(id, SHORT, 300 * MILLISECOND, SECOND)));
         actions.extend(gateway.advance(400 * MILLISECOND));
         let named = |a: &Action| match a {
-            Action::Reject { id, retry_after } if id.0 >= 1000 => Some(*retry_after),
+            Action::Reject {
+                id, retry_after, ..
+            } if id.0 >= 1000 => Some(*retry_after),
             _ => None,
         };
         actions.iter().filter_map(named).collect::<Vec<Nanos>>()
--- a/tests/recorded_run.rs
+++ b/tests/recorded_run.rs
@@ -97,7 +97,9 @@
                 vec![u64::from(id.0), u64::from(*priority), memory_mb.to_bits()],
             ),
             Action::Cancel { id, attempt } => (3, vec![u64::from(id.0), u64::from(attempt.0)]),
-            Action::Reject { id, retry_after } => (4, vec![u64::from(id.0), *retry_after]),
+            Action::Reject {
+                id, retry_after, ..
+            } => (4, vec![u64::from(id.0), *retry_after]),
             Action::Fail { id } => (5, vec![u64::from(id.0)]),
             Action::StartTimer { after, token } => (6, vec![*after, *token]),
             Action::Probe { engine } => (7, vec![engine.0]),
--- a/tests/unit/admin.rs
+++ b/tests/unit/admin.rs
@@ -1,6 +1,8 @@
 //! The admin endpoint's protocol: parsing of requests, error responses, and the metrics text.
 use super::*;
 use crate::dispatcher::metrics::{ClassMetrics, MetricsSnapshot};
+use crate::dispatcher::rejection::{RejectionCause, RejectionKey};
+use crate::policy::api::{RejectionReason, TenantId};
 
 fn error_text(error: RequestError) -> String {
     String::from_utf8(error_response(error)).expect("text")
@@ -97,3 +99,32 @@
         assert!(lines.contains(&line), "{line}");
     }
 }
+
+/// Guards operators against rejections without a reason.
+#[test]
+fn rejections_are_published_by_class_tenant_and_cause() {
+    let key = |tenant: Option<u16>, cause| RejectionKey {
+        class: "lookup".into(),
+        tenant: tenant.map(TenantId),
+        cause,
+    };
+    let backlog = RejectionCause::Decided(RejectionReason::BacklogTooLong);
+    let snapshot = MetricsSnapshot {
+        rejections: [
+            (key(None, RejectionCause::Frontend), 2),
+            (key(Some(4), backlog), 7),
+        ]
+        .into_iter()
+        .collect(),
+        ..MetricsSnapshot::default()
+    };
+
+    let text = metrics_text(&snapshot);
+
+    for line in [
+        "app.rejections.lookup.-.frontend:2|c",
+        "app.rejections.lookup.4.backlog_too_long:7|c",
+    ] {
+        assert!(text.lines().any(|it| it == line), "{line}: {text}");
+    }
+}
--- a/tests/unit/dispatcher.rs
+++ b/tests/unit/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Retries within idempotency windows, and attempt options, one scenario a test. The invariants under
 //! random steps are in `dispatcher_model.rs`.
+use super::rejection::{RejectionCause, RejectionKey};
 use super::termination::{Termination, TransmitProgress};
 use super::test_builders::{
     Configuration, dispatcher, dispatcher_with_keyed_loads, result_without_reply,
@@ -9,7 +10,7 @@
     Dispatcher, Failure, Origin, Response,
 };
 use crate::clock::{MS, Micros, SEC};
-use crate::policy::api::{ClassId, EngineId};
+use crate::policy::api::{ClassId, EngineId, TenantId};
 use std::rc::Rc;
 
 /// The class whose semantics [`dispatcher_with_keyed_loads`] sets.
@@ -315,4 +316,11 @@
         "only the rejection"
     );
     assert_eq!(dispatcher.counters.open(), 0);
+    let counted: Vec<_> = dispatcher.counters.rejections.into_iter().collect();
+    let key = RejectionKey {
+        class: "lookup".into(),
+        tenant: Some(TenantId(0)),
+        cause: RejectionCause::ShutDown,
+    };
+    assert_eq!(counted, [(key, 1)]);
 }
--- a/tests/unit/dispatcher_model.rs
+++ b/tests/unit/dispatcher_model.rs
@@ -301,6 +301,11 @@
         if waiting > 0 || counters.open() > 0 || !self.dispatcher.in_flight.is_empty() {
             return Err(format!("{waiting} without a response; {counters}"));
         }
+        // Each rejection has its cause, no more and no fewer.
+        let caused: u64 = counters.rejections.values().sum();
+        if [caused, counters.total_rejections] != [counters.rejected; 2] {
+            return Err(format!("{caused} rejections with a cause; {counters}"));
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/tests/unit/net_dispatcher_rejection_log.rs
@@ -0,0 +1,42 @@
+//! The log line about rejections.
+use super::*;
+use crate::dispatcher::rejection::RejectionCause;
+use crate::policy::api::{RejectionReason, TenantId};
+
+fn key(tenant: Option<u16>, cause: RejectionCause) -> RejectionKey {
+    RejectionKey {
+        class: "lookup".into(),
+        tenant: tenant.map(TenantId),
+        cause,
+    }
+}
+
+/// Guards the log against a line a request, and against rejections that no line tells.
+#[test]
+fn each_second_has_one_line_with_what_was_counted_since_the_last_one() {
+    let near = key(
+        Some(1),
+        RejectionCause::Decided(RejectionReason::DeadlineNear),
+    );
+    let frontend = key(None, RejectionCause::Frontend);
+    let mut log = RejectionLog::default();
+    let mut counts = BTreeMap::from([(near.clone(), 2)]);
+
+    let first = log.line(10 * SEC, 2, &counts);
+    assert_eq!(
+        first.as_deref(),
+        Some("rejected 2 requests: 2 lookup of tenant 1: deadline_near")
+    );
+
+    counts.insert(near, 5);
+    counts.insert(frontend, 1);
+    assert_eq!(log.line(10 * SEC + 999_999, 6, &counts), None);
+    let second = log.line(11 * SEC, 6, &counts);
+    assert_eq!(
+        second.as_deref(),
+        Some(
+            "rejected 4 requests: 3 lookup of tenant 1: deadline_near, 1 lookup of tenant -: frontend"
+        )
+    );
+    assert_eq!(log.line(12 * SEC, 6, &counts), None);
+}
--- a/tests/wire_formats.rs
+++ b/tests/wire_formats.rs
@@ -453,6 +453,8 @@
         reloads: 13,
         reload_failures: 14,
         responses_by_class: BTreeMap::new(),
+        rejections: BTreeMap::new(),
+        total_rejections: 0,
         attempts_by_termination: ends,
     };
     assert_text("counters.txt", &format!("{counters}\n"));
@@ -479,6 +481,7 @@
         reload_failure: 1,
         actor_panics: 0,
         client_connections: 5,
+        rejections: BTreeMap::new(),
     };
     assert_text("metrics.txt", &admin::metrics_text(&figures));
 }
