Apply a reload whole or not at all, also where the process ends meanwhile

Operators would see: a SIGHUP that crosses the end of the process takes the new limits and settings, loses the names of all classes and is logged as a success. Found by reading.

Cause: reload.rs applied part after part, and resolved the class rules after the settings were in force, by a call that could fail.

Evidence: tests/unit/net_reload.rs breaks each step (both files, the dispatcher before and after it has the event, the coordinator), with a bound on each wait; seven tests green. They can't be compiled with the code before. operations and scenarios are green.

--- a/src/config/clickhouse/class_rules.rs
+++ b/src/config/clickhouse/class_rules.rs
@@ -68,6 +68,15 @@
         })
     }
 
+    /// The same rules with other ids for their classes.
+    pub fn renumbered(mut self, new_id: impl Fn(ClassId) -> ClassId) -> ClassRules {
+        for rule in &mut self.rules {
+            rule.class = new_id(rule.class);
+        }
+        self.default_class = new_id(self.default_class);
+        self
+    }
+
     /// The class of a user's statement.
     pub fn class(&self, user: &str, statement: &[u8]) -> ClassId {
         let words = statement::words(statement);
--- a/src/net/dispatcher/event.rs
+++ b/src/net/dispatcher/event.rs
@@ -29,6 +29,8 @@
     pub class_names: Vec<String>,
     /// A hash of the configuration's text, for the audit.
     pub settings_hash: u64,
+    /// The tenants' new shares, unless they stay as they are.
+    pub tenants: Option<Vec<TenantSpec>>,
     /// Receives all classes by their ids, each with whether it is in force.
     pub applied: Sender<Vec<(Class, bool)>>,
 }
--- a/src/net/dispatcher/event_handling.rs
+++ b/src/net/dispatcher/event_handling.rs
@@ -114,6 +114,9 @@
             },
         );
         self.dispatcher.reconfigure(*new.settings, &new.class_names);
+        if let Some(tenants) = new.tenants {
+            self.dispatcher.set_tenants(&tenants);
+        }
         let _ = new.applied.try_send(self.dispatcher.classes());
     }
 
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -1,6 +1,6 @@
 //! Reload of the configuration while the process runs, on SIGHUP: all files are read and validated
 //! first, then applied as one new generation. Open requests and engines are not affected. If a file
-//! can't be used, nothing changes.
+//! cannot be used, or the process ends meanwhile, nothing changes.
 use super::Shared;
 use super::discovery::WatchEvent;
 use super::discovery::coordinator::CoordinatorMigration;
@@ -10,12 +10,12 @@
 use crate::class_registry::Class;
 use crate::clock::micros;
 use crate::config::FileError;
-use crate::config::clickhouse::{self, ClassRules, ClickHouseConfig, ClickHouseConfigError, Users};
+use crate::config::clickhouse::{self, ClassRules, ClickHouseConfigError, Users};
 use crate::config::completeness::missing_key;
 use crate::config::process::{self, Config, LiveNames, Names, ProcessConfigError, keyed_classes};
 use crate::frontend::clickhouse::ClickHouseShared;
 use crate::log;
-use crate::policy::api::Settings;
+use crate::policy::api::{ClassId, Settings, TenantSpec};
 use async_channel::{Sender, bounded};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -47,6 +47,9 @@
     /// The file of the ClickHouse frontend has names that the settings lack.
     #[error("{0}")]
     ClickHouseNames(#[from] ClickHouseConfigError),
+    /// The dispatcher has ended before it had the new settings.
+    #[error("the process ends")]
+    DispatcherEnded,
 }
 
 /// The part of the ClickHouse frontend that its file configures.
@@ -95,7 +98,8 @@
 
 struct NewClickHouse<'a> {
     frontend: &'a ClickHouseFrontend,
-    config: ClickHouseConfig,
+    /// The rules, with each class's place in the new settings for its id.
+    rules: ClassRules,
     users: Users,
 }
 
@@ -115,7 +119,12 @@
                 "another address, or other names than those of classes, need a restart: the old ones stand"
             );
         }
-        self.apply(new).await
+        let settings = self.merged_settings(&new.config);
+        let classes = self.reconfigure_dispatcher(&settings, &new.config).await?;
+        let migration = self.apply(new, settings, &classes);
+        // Without the coordinator's actor the process ends.
+        let _ = self.coordinator.send(migration).await;
+        Ok(())
     }
 
     fn read(&self) -> Result<NewConfiguration<'_>, ReloadError> {
@@ -148,40 +157,18 @@
             return Ok(None);
         };
         let config = clickhouse::read(&frontend.path)?;
-        ClassRules::new(&config, names)?;
-        let users = Users::new(&config, names)?;
         Ok(Some(NewClickHouse {
             frontend,
-            config,
-            users,
+            rules: ClassRules::new(&config, names)?,
+            users: Users::new(&config, names)?,
         }))
     }
 
-    async fn apply(&self, new: NewConfiguration<'_>) -> Result<(), ReloadError> {
-        let config = new.config;
-        let limits = config.limits;
-        self.shared.set_limits(limits.sockets, limits.memory_mb);
-        let classes = self.apply_settings(&config).await;
-        let names = Rc::new(with_classes(new.names, &classes));
-        *self.names.borrow_mut() = names.clone();
-        if let Some(clickhouse) = new.clickhouse {
-            clickhouse.apply(&classes, &names)?;
-        }
-        self.apply_tenants(&config).await;
-        *self.json.borrow_mut() = config.json;
-        let migration = CoordinatorMigration {
-            addr: Some(config.coordinator),
-            known: new.known_events,
-        };
-        let _ = self.coordinator.send(migration).await;
-        Ok(())
-    }
-
-    /// Gives the dispatcher its new settings, and returns all classes by their ids. The manager's
-    /// identity and the lists that other settings index stay until a restart.
-    async fn apply_settings(&self, config: &Config) -> Vec<ReloadedClass> {
+    /// The new settings, but for the manager's identity and the lists that other settings index: they
+    /// stay until a restart.
+    fn merged_settings(&self, config: &Config) -> Settings {
         let in_force = self.settings.borrow().clone();
-        let settings = Settings {
+        Settings {
             gateway_index: in_force.gateway_index,
             gateways: in_force.gateways,
             zone: in_force.zone,
@@ -191,36 +178,67 @@
             poll_endpoint_list: in_force.poll_endpoint_list,
             load_fields: in_force.load_fields,
             ..config.settings.clone()
-        };
-        *self.settings.borrow_mut() = settings.clone();
+        }
+    }
+
+    /// Gives the dispatcher all that is new for it, and returns all classes by their ids. Nothing else
+    /// is applied before: if the dispatcher has ended, all of the old configuration stands.
+    async fn reconfigure_dispatcher(
+        &self,
+        settings: &Settings,
+        config: &Config,
+    ) -> Result<Vec<ReloadedClass>, ReloadError> {
         let (applied, classes) = bounded(1);
         let reconfigure = DispatcherEvent::Reconfigure(Reconfiguration {
-            settings: Box::new(settings),
+            settings: Box::new(settings.clone()),
             class_names: config.names.classes.clone(),
             settings_hash: settings_hash(&config.json),
+            tenants: self.new_tenants(config),
             applied,
         });
-        let _ = self.dispatcher.send(reconfigure).await;
-        classes.recv().await.unwrap_or_default()
+        let sent = self.dispatcher.send(reconfigure).await;
+        sent.map_err(|_| ReloadError::DispatcherEnded)?;
+        let applied = classes.recv().await;
+        applied.map_err(|_| ReloadError::DispatcherEnded)
     }
 
-    /// Gives the dispatcher the tenants' new shares, unless a directory provides them or the tenants
-    /// are others.
-    async fn apply_tenants(&self, config: &Config) {
+    /// The tenants' new shares, unless a directory provides them or the tenants are others.
+    fn new_tenants(&self, config: &Config) -> Option<Vec<TenantSpec>> {
         let has_directory = self
             .clickhouse
             .as_ref()
             .is_some_and(|frontend| frontend.has_directory);
         let same_tenants = config.names.tenants == self.names.borrow().tenants;
-        if !has_directory && same_tenants {
-            let tenants = DispatcherEvent::Tenants(config.settings.tenants.clone());
-            let _ = self.dispatcher.send(tenants).await;
+        (!has_directory && same_tenants).then(|| config.settings.tenants.clone())
+    }
+
+    /// Applies what the dispatcher has already; returns what the coordinator's actor is to have.
+    fn apply(
+        &self,
+        new: NewConfiguration<'_>,
+        settings: Settings,
+        classes: &[ReloadedClass],
+    ) -> CoordinatorMigration {
+        let config = new.config;
+        let limits = config.limits;
+        self.shared.set_limits(limits.sockets, limits.memory_mb);
+        *self.settings.borrow_mut() = settings;
+        let names = Rc::new(with_classes(new.names, classes));
+        *self.names.borrow_mut() = names.clone();
+        if let Some(clickhouse) = new.clickhouse {
+            clickhouse.apply(classes, &config.names.classes, &names);
+        }
+        *self.json.borrow_mut() = config.json;
+        CoordinatorMigration {
+            addr: Some(config.coordinator),
+            known: new.known_events,
         }
     }
 }
 
 impl NewClickHouse<'_> {
-    fn apply(self, classes: &[ReloadedClass], names: &Names) -> Result<(), ClickHouseConfigError> {
+    /// `new_classes` are the names of the new settings' classes, in their order.
+    fn apply(self, classes: &[ReloadedClass], new_classes: &[String], names: &Names) {
         let service = &self.frontend.service;
         *service.class_deadlines.borrow_mut() = classes
             .iter()
@@ -230,12 +248,16 @@
             .iter()
             .map(|(class, _)| class.spec.loads_data_set)
             .collect();
-        *service.class_rules.borrow_mut() = ClassRules::new(&self.config, names)?;
+        // Each of the new settings' classes is in force, so that its name has an id.
+        let id_in_force = |place: ClassId| {
+            let name = new_classes.get(usize::from(place.0));
+            name.and_then(|name| names.class(name)).unwrap_or(place)
+        };
+        *service.class_rules.borrow_mut() = self.rules.renumbered(id_in_force);
         *self.frontend.file_users.borrow_mut() = self.users.clone();
         if !self.frontend.has_directory {
             *service.users.borrow_mut() = self.users;
         }
-        Ok(())
     }
 }
 
@@ -256,3 +278,7 @@
         ..names
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/net_reload.rs"]
+mod tests;
