Write the files of daemons under test at once, so that none is read half

The test kit truncates and writes a file in place while another daemon of the same manager, or one that reloads, reads it: two new versions that are started at once, or a start beside a change of the coordinator. The daemon is right to refuse it.

Change: Folder::put writes under another name and renames.

--- a/src/testkit/daemon/folder.rs
+++ b/src/testkit/daemon/folder.rs
@@ -31,14 +31,19 @@
         self.0.join(name)
     }
 
-    /// Writes a file into it.
+    /// Writes a file into it, at once for whoever reads it meanwhile: a daemon that starts or reloads
+    /// sees the file before or the whole new one.
     ///
     /// # Errors
     ///
     /// The file can't be written.
     pub fn put(&self, name: &str, text: &str) -> io::Result<PathBuf> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let path = self.path(name);
-        std::fs::write(&path, text)?;
+        let partial = self.path(&format!("{name}.partial{number}"));
+        std::fs::write(&partial, text)?;
+        std::fs::rename(&partial, &path)?;
         Ok(path)
     }
 }
