--- a/src/testkit/mod.rs
+++ b/src/testkit/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod http_reader;
 pub mod membership_simulation;
+pub mod planned_restart;
 pub mod plot;
 pub mod ports;
 pub mod probe_simulation;
--- a/src/testkit/scale/report.rs
+++ b/src/testkit/scale/report.rs
@@ -99,10 +99,10 @@
     engines: Option<u64>,
 }
 
-/// The series of the default points, from the fewest engines to all.
-fn all_series(fewest_engines: u64, all_engines: u64) -> [Series; 4] {
+/// The series of the points, from the fewest engines to all.
+fn all_series(fewest_engines: u64, all_engines: u64) -> Vec<Series> {
     let statements = |m: &Measured| m.clients == 0;
-    [
+    let mut series = vec![
         Series {
             quantity: "engine, idle",
             includes: |m| m.clients == 0 && m.rate == 0.0,
@@ -121,13 +121,17 @@
             value: |m| m.asked_per_s,
             engines: Some(fewest_engines),
         },
-        Series {
+    ];
+    // With one number of engines it is the series before.
+    if all_engines != fewest_engines {
+        series.push(Series {
             quantity: "statement a second, all engines",
             includes: statements,
             value: |m| m.asked_per_s,
             engines: Some(all_engines),
-        },
-    ]
+        });
+    }
+    series
 }
 
 impl Series {
@@ -170,10 +174,6 @@
         let all_engines = engines().max().unwrap_or(0);
         let mut fits = Vec::new();
         for series in all_series(fewest_engines, all_engines) {
-            // A series at a fixed number of engines needs points at other numbers beside it.
-            if fewest_engines == all_engines && series.engines == Some(all_engines) {
-                continue;
-            }
             for (costs, figure) in COSTS {
                 let samples: Vec<_> = plays
                     .iter()
--- a/tests/listen_address.rs
+++ b/tests/listen_address.rs
@@ -1,8 +1,4 @@
-//! Two processes at one client address. A manager that was configured onto the address of another one
-//! (a copied file) started without a word on either side and took half of its clients, as both set
-//! SO_REUSEPORT for the next version of a manager. It came to light in the audit's test, whose test
-//! kit gave out ports that it did not hold: two members of a fleet got the same one, and one's
-//! dispatches stood in the other's audit, while their sum was whole. See
+//! Guards against two managers at one client address, which share its clients. See
 //! docs/incidents/shared-client-address.md.
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -92,6 +92,34 @@
     assert_eq!(json.matches("\"dispatches\":").count(), 4);
 }
 
+/// Guards against a report that drops what was measured: with one number of engines the series of
+/// clients and statements were left out.
+#[test]
+fn a_report_on_one_number_of_engines_has_the_series_of_clients_and_statements() {
+    let point = |clients: u64, rate: f64| Measured {
+        engines: 12,
+        clients,
+        rate,
+        asked_per_s: rate,
+        rss_kib: 8_000 + clients,
+        ..Measured::default()
+    };
+    let play = vec![
+        point(0, 0.0),
+        point(100, 0.0),
+        point(200, 0.0),
+        point(0, 50.0),
+        point(0, 100.0),
+    ];
+
+    let text = Report::new(vec![play]).markdown();
+
+    for series in ["client, idle", "statement a second, few engines"] {
+        assert!(text.contains(series), "{series}: {text}");
+    }
+    assert!(!text.contains("statement a second, all engines"), "{text}");
+}
+
 /// Guards against plausible figures of a daemon that did not live to the end.
 #[test]
 fn a_daemon_that_dies_fails_the_measurement() {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,9 +1,4 @@
-//! The end of a process whose clients go on. A process that was told to end and waited for a moment
-//! without open requests never found one: each client sent its next request on its open connection,
-//! it was admitted, and the forced end had already answered what was open then. At the kill the
-//! process was still alive, and every request since the forced end was without an answer: of 12
-//! connections with a request each 40 ms, 95 to 134 at the earliest kill (3.70 s), all sent from
-//! 3.45 s on; the last line of its log was the one that it is asked to end. See
+//! Guards against a process that does not end, or loses requests, while its clients go on after SIGTERM. See
 //! docs/incidents/shutdown-under-load.md.
 use rustix::process::{Pid, Signal, kill_process};
 use std::net::TcpListener;
@@ -16,11 +11,8 @@
 };
 use yokelift::testkit::coordinator::{Coordinator, known, ready_endpoint};
 use yokelift::testkit::daemon::{Daemon, DaemonOptions, KINDS, ZONES, settings};
+use yokelift::testkit::planned_restart::{KILL_SLACK, MAX_DEADLINE_WAIT};
 
-/// The longest deadline that the platform waits for at a planned restart.
-const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
-/// How long after that the platform kills the process at the earliest.
-const KILL_SLACK: Duration = Duration::from_millis(700);
 /// How long the clients send before the process is told to end.
 const LOAD_BEFORE_SHUTDOWN: Duration = Duration::from_millis(800);
 
@@ -96,7 +88,7 @@
         }
         std::thread::sleep(*pause);
     }
-    let killed_at = told_at.expect("it is told to end") + LONGEST_DEADLINE + KILL_SLACK;
+    let killed_at = told_at.expect("it is told to end") + MAX_DEADLINE_WAIT + KILL_SLACK;
     std::thread::sleep(killed_at.saturating_duration_since(Instant::now()));
     let status = daemon.poll_exit();
     if status.is_none() {
@@ -155,7 +147,7 @@
     }
 }
 
-/// Clients that are rejected so often that the daemon reads from them slowly.
+/// Clients that are rejected all the time.
 fn hasty_clients(seed: u64) -> SustainedLoadPlan {
     SustainedLoadPlan {
         interval: Duration::from_millis(8),
@@ -186,8 +178,7 @@
     assert_nothing_is_lost(&steady_clients(2), Engines::None, &series);
 }
 
-/// What a throttled client has sent waits to be parsed. At the end of the process its connection
-/// slept on until its throttle's time, and its requests were without an answer.
+/// Guards requests that wait to be parsed when the process ends.
 #[test]
 fn a_shutdown_answers_what_throttled_clients_have_sent() {
     assert_nothing_is_lost(&hasty_clients(3), Engines::None, &ONE_TERM);
--- a/tests/soak/manager.rs
+++ b/tests/soak/manager.rs
@@ -14,16 +14,13 @@
     self, SustainedLoad, SustainedLoadPlan, SustainedLoadReport, SustainedProtocol,
 };
 use yokelift::testkit::daemon::{self, Folder};
+use yokelift::testkit::planned_restart::{KILL_SLACK, MAX_DEADLINE_WAIT};
 use yokelift::testkit::ports::reserve_addr;
 
 /// The variable that names another build to play against.
 const PROGRAM: &str = "SOAK_PROGRAM";
-/// The longest deadline that the platform waits for at a planned restart.
-const RESTART_DEADLINE: Duration = Duration::from_secs(3);
-/// The same at the end of an older version.
+/// The longest deadline that the platform waits for at the end of an older version.
 const UPGRADE_DEADLINE: Duration = Duration::from_secs(5);
-/// How long after that the platform kills the process at the earliest.
-const KILL_SLACK: Duration = Duration::from_millis(700);
 /// New connections keep coming for 0.2 to 0.4 s after SIGTERM.
 const FRONT_NOTICE: Duration = Duration::from_millis(300);
 /// A process has to be ready within this time; a new version within 6 s.
@@ -307,7 +304,7 @@
         std::thread::sleep(notice);
         self.set_front_open(false);
         if let Some(process) = lock(&self.process).take() {
-            self.end_by_kill(process, told_at, RESTART_DEADLINE);
+            self.end_by_kill(process, told_at, MAX_DEADLINE_WAIT);
         }
         self.start_process();
         self.set_front_open(true);
@@ -400,7 +397,7 @@
         self.check_idle();
         let told_at = self.send(&[(Signal::TERM, 0)]).expect("it is told to end");
         if let Some(process) = lock(&self.process).take() {
-            self.end_by_kill(process, told_at, RESTART_DEADLINE);
+            self.end_by_kill(process, told_at, MAX_DEADLINE_WAIT);
         }
         let log = self.log();
         for line in log.lines().filter(|line| line.contains("panicked")) {
