Do not repeat keyed statements on engines that are not sent the key

Cause: whether a request may be repeated was decided from the request and its class alone. With a key, every engine was taken to drop a repeat, but engines of the ClickHouse interface are never sent a key. The retry, a hedged attempt and a rejection after an attempt that may have run all rest on that decision.

On the platform's protocol the same request carries its key (scenarios/keyed.txt), so the frontend does not lose it.

Change: Endpoint::ignores_idempotency_keys, set by the endpoint list for the engines of the deploy file. may_repeat needs both engines to use keys; may_reject needs all engines listed since the start to use them. An attempt there counts as one that must never run twice (own connection, end of the message withheld). Decided in policy and checked again by the dispatcher, as before.

--- a/src/bin/yokelift-sim-adapter/records.rs
+++ b/src/bin/yokelift-sim-adapter/records.rs
@@ -134,6 +134,7 @@
         readiness: readiness(reader)?,
         weight: f64::from(reader.f32("rows nominal")?),
         started_at: reader.u64("rows ready_at_ns")?,
+        ..Endpoint::default()
     })
 }
 
--- a/src/dispatcher/attempts.rs
+++ b/src/dispatcher/attempts.rs
@@ -54,7 +54,8 @@
         });
         self.deadlines.insert((deadline, id));
         let class_id = request.request.class;
-        let attempt_request = request.attempt_request(attempt, class.name.clone(), deadline);
+        let attempt_request =
+            request.attempt_request(attempt, &endpoint, class.name.clone(), deadline);
         self.record_decision(
             class_id,
             &attempt_request.client_request_id,
--- a/src/dispatcher/in_flight.rs
+++ b/src/dispatcher/in_flight.rs
@@ -133,7 +133,7 @@
                 nanos(execution.sent_at),
                 Some(RepeatTargets {
                     first: execution.endpoint,
-                    next: *endpoint,
+                    next: Some(*endpoint),
                 }),
                 nanos(now),
             )
@@ -164,15 +164,22 @@
         })
     }
 
-    /// The message that starts an attempt. It contains an idempotency key only if the class is
-    /// idempotent by key.
+    /// Whether the engine discards duplicates of the request by its idempotency key.
+    fn uses_key_at(&self, endpoint: &Endpoint) -> bool {
+        let has_key = matches!(self.idempotency, Idempotency::WithKey { .. });
+        has_key && !endpoint.ignores_idempotency_keys
+    }
+
+    /// The message that starts an attempt at this engine. It contains an idempotency key only if
+    /// the class is idempotent by key and the engine uses keys.
     pub(super) fn attempt_request(
         &self,
         attempt: AttemptId,
+        endpoint: &Endpoint,
         class: Rc<str>,
         deadline: Micros,
     ) -> AttemptRequest {
-        let uses_key = matches!(self.idempotency, Idempotency::WithKey { .. });
+        let uses_key = self.uses_key_at(endpoint);
         let key = self.request.idempotency_key.clone();
         AttemptRequest {
             id: attempt.request,
@@ -182,7 +189,7 @@
             class,
             statement: self.request.statement.clone(),
             session: self.request.session.clone(),
-            must_not_repeat: self.idempotency == Idempotency::NonIdempotent,
+            must_not_repeat: self.idempotency != Idempotency::Idempotent && !uses_key,
             idempotency_key: key.filter(|_| uses_key),
             deadline,
             memory_mb: self.memory_mb,
@@ -191,10 +198,12 @@
     }
 
     /// Whether the request may be rejected. A rejection guarantees that a retry is harmless.
-    pub(super) fn may_reject(&self) -> bool {
+    /// `engines_use_keys`: all engines discard duplicates by idempotency key.
+    pub(super) fn may_reject(&self, engines_use_keys: bool) -> bool {
         may_reject(
             self.idempotency,
             self.earliest_possible_execution().is_some(),
+            engines_use_keys,
         )
     }
 
--- a/src/dispatcher/mod.rs
+++ b/src/dispatcher/mod.rs
@@ -36,6 +36,7 @@
     Action, ClassSpec, Endpoint, EndpointListKind, EngineId, Event, Readiness, RequestId, Settings,
     TenantSpec,
 };
+use crate::policy::state::use_idempotency_keys;
 use capabilities::EngineCapabilities;
 use in_flight::InFlightRequest;
 pub use message::{
@@ -57,6 +58,8 @@
     max_attempts: u16,
     /// The endpoint list, without removed endpoints.
     endpoints: BTreeMap<EngineId, Endpoint>,
+    /// All engines that were ever listed discard duplicates by idempotency key.
+    engines_use_keys: bool,
     /// The features of engines that the settings enable.
     capabilities: EngineCapabilities,
     /// The in-flight table.
@@ -96,6 +99,7 @@
             class_registry: ClassRegistry::new(named_classes(&settings, class_names)),
             max_attempts: max_attempts(&settings),
             endpoints: BTreeMap::new(),
+            engines_use_keys: true,
             capabilities: EngineCapabilities::from_settings(&settings),
             in_flight: BTreeMap::new(),
             module: Gateway::new(nanos(now), settings, seed),
@@ -167,6 +171,7 @@
         if matches!(kind, EndpointListKind::Cached | EndpointListKind::Full) {
             self.endpoints.clear();
         }
+        self.engines_use_keys &= use_idempotency_keys(&entries);
         self.endpoints
             .extend(entries.iter().map(|endpoint| (endpoint.id, *endpoint)));
         self.endpoints
--- a/src/dispatcher/responses.rs
+++ b/src/dispatcher/responses.rs
@@ -29,7 +29,7 @@
         let Some(request) = self.in_flight.get(&id).filter(|request| !request.closed) else {
             return;
         };
-        if !request.may_reject() {
+        if !request.may_reject(self.engines_use_keys) {
             self.counters.blocked_actions += 1;
             return self.fail_request(id, Failure::NotSent, commands);
         }
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -89,6 +89,7 @@
             event.endpoints.extend(&self.clickhouse.static_endpoints);
             self.remove_unlisted(&event.endpoints);
         }
+        self.mark_engines_without_keys(&mut event.endpoints);
         let mut new_handles = Vec::new();
         for listed in &event.endpoints {
             new_handles.extend(self.apply_endpoint(listed));
@@ -119,6 +120,15 @@
             .collect()
     }
 
+    /// The ClickHouse interface has no idempotency key with the meaning of the platform's: its
+    /// engines are sent none and run a repeated statement again.
+    fn mark_engines_without_keys(&self, listed: &mut [ListedEndpoint]) {
+        for listed in listed {
+            let endpoint = &mut listed.endpoint;
+            endpoint.ignores_idempotency_keys = self.clickhouse.ids.contains(&endpoint.id);
+        }
+    }
+
     fn is_new_and_ready(&self, listed: &ListedEndpoint) -> bool {
         let is_ready = listed.endpoint.readiness == Readiness::Ready;
         is_ready && !self.known.contains_key(&listed.endpoint.id)
--- a/src/net/discovery/frame.rs
+++ b/src/net/discovery/frame.rs
@@ -123,6 +123,7 @@
         readiness,
         weight: f64::from(u32_at(record, 15)) / WEIGHT_SCALE,
         started_at: started_ms.saturating_mul(NANOS_PER_MILLI),
+        ..Endpoint::default()
     };
     Some(ListedEndpoint {
         endpoint,
--- a/src/net/discovery/known_events.rs
+++ b/src/net/discovery/known_events.rs
@@ -96,6 +96,7 @@
             readiness: self.readiness()?,
             weight: self.weight,
             started_at: self.started_ms.saturating_mul(NANOS_PER_MILLI),
+            ..Endpoint::default()
         };
         Ok(ListedEndpoint {
             endpoint,
--- a/src/policy/api/event.rs
+++ b/src/policy/api/event.rs
@@ -34,6 +34,9 @@
     pub weight: f64,
     /// When it last started, on the clock of the events; 0 if its slow start ended long ago.
     pub started_at: Nanos,
+    /// It is not sent idempotency keys, so it neither discards duplicates nor records a key for the
+    /// engines that do.
+    pub ignores_idempotency_keys: bool,
 }
 
 /// How an update of the endpoint list relates to the list that the module holds.
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -2,6 +2,7 @@
 use super::Gateway;
 use super::state::engine::Engine;
 use super::state::units::seconds;
+use super::state::use_idempotency_keys;
 use super::tick_timer;
 use super::tuning::{CONTROL_PERIOD, INITIAL_THREADS_PER_CORE, TICK_INTERVAL, TURN_DURATION};
 use crate::policy::api::{Action, Endpoint, EndpointListKind, EngineId, Nanos, Readiness};
@@ -30,6 +31,7 @@
         for endpoint in entries {
             self.merge_endpoint(now, endpoint);
         }
+        self.engines_use_keys &= use_idempotency_keys(entries);
         let ready = self.engines.values().filter(|engine| engine.is_ready());
         self.fleet.ready = ready.map(Engine::id).collect();
         self.drop_removed_engines();
--- a/src/policy/endpoint_selection.rs
+++ b/src/policy/endpoint_selection.rs
@@ -195,9 +195,9 @@
             return true;
         };
         let first = self.engines.get(&execution.engine);
-        let targets = first.zip(engine).map(|(first, next)| RepeatTargets {
+        let targets = first.map(|first| RepeatTargets {
             first: first.endpoint,
-            next: next.endpoint,
+            next: engine.map(|next| next.endpoint),
         });
         // Engines have to keep the key until the retry ends, not only until it starts.
         let repeat_end = now + nanos(self.unloaded_seconds(request));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -99,6 +99,8 @@
     /// When this process ends the requests that are still open; [`Nanos::MAX`] unless it is
     /// shutting down.
     serving_until: Nanos,
+    /// All engines that were ever listed discard duplicates by idempotency key.
+    engines_use_keys: bool,
     /// When the control law was last applied.
     limits_updated_at: Nanos,
     last_event_at: Nanos,
@@ -129,6 +131,7 @@
             active_gateways: f64::from(settings.gateways.max(1)),
             capacity_share: 1.0,
             serving_until: Nanos::MAX,
+            engines_use_keys: true,
             limits_updated_at: now,
             last_event_at: now,
             resumed_at: 0,
--- a/src/policy/request_lifecycle.rs
+++ b/src/policy/request_lifecycle.rs
@@ -205,7 +205,11 @@
             return;
         };
         let may_have_run = request.earliest_execution().is_some();
-        let may_reject = may_reject(self.idempotency(request), may_have_run);
+        let may_reject = may_reject(
+            self.idempotency(request),
+            may_have_run,
+            self.engines_use_keys,
+        );
         let tenant = request.request.tenant;
         let over_quota = request.over_quota;
         let is_retry = request.request.is_retry;
--- a/src/policy/state/mod.rs
+++ b/src/policy/state/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) mod units;
 pub(crate) mod warm_up_window;
 
-pub(crate) use idempotency::{RepeatTargets, may_reject, may_repeat};
+pub(crate) use idempotency::{RepeatTargets, may_reject, may_repeat, use_idempotency_keys};
 
 /// Weight of a new sample in exponentially weighted moving averages: about the last ten samples
 /// count.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -153,6 +153,7 @@
         readiness: Readiness::Ready,
         weight: 1.0,
         started_at,
+        ..Endpoint::default()
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,6 +59,49 @@
     run(include_str!("../scenarios/keyed.txt"));
 }
 
+/// Guards against a keyed load that runs twice on engines of the ClickHouse interface, which are
+/// not sent the key: neither a retry, a hedged attempt nor a rejection may follow once it may have
+/// run there. On an engine that is sent the key it is still retried.
+#[test]
+fn a_keyed_load_runs_once_on_engines_that_are_not_sent_its_key() {
+    run("set /classes/2/semantics \"token\"
+        set /classes/2/window_ns 20000000000
+        set /limits/second_copies true
+        engine one clickhouse
+        engine two clickhouse
+        engine three platform
+        user anna secret billing-desk
+        start
+        drain three
+        until lists 2
+        on any reset
+        ask lost keyed key-1 load billing-desk 9000 INSERT INTO sales_17.orders SELECT 1
+        expect lost failed
+        runs lost 1
+        on any hang
+        ask slow keyed key-2 load billing-desk 3000 INSERT INTO sales_17.orders SELECT 2
+        expect slow deadline
+        runs slow 1
+        on any full
+        ask full keyed key-3 load billing-desk 9000 INSERT INTO sales_17.orders SELECT 3
+        expect full served
+        runs full 2
+        ready three
+        drain one
+        drain two
+        until lists 5
+        on three break
+        ask known keyed key-4 load billing-desk 9000 INSERT INTO sales_17.orders SELECT 4
+        expect known served
+        runs known 2
+        dropped known 1
+        term
+        ended
+        counter open 0
+        counter copies 0
+        counter refused 0");
+}
+
 /// Guards against an idempotency key that is stored for a load that never ran: an engine at its
 /// limit rejects a keyed load, the client receives the rejection, and a later request with the same
 /// key runs.
--- a/tests/unit/idempotency.rs
+++ b/tests/unit/idempotency.rs
@@ -21,7 +21,10 @@
 }
 
 fn targets(first: Endpoint, next: Endpoint) -> Option<RepeatTargets> {
-    Some(RepeatTargets { first, next })
+    Some(RepeatTargets {
+        first,
+        next: Some(next),
+    })
 }
 
 #[test]
@@ -72,7 +75,40 @@
         (Idempotency::NonIdempotent, false),
     ];
     for (idempotency, is_allowed) in all {
-        assert!(may_reject(idempotency, false), "{idempotency:?} never ran");
-        assert_eq!(may_reject(idempotency, true), is_allowed, "{idempotency:?}");
+        let never_ran = may_reject(idempotency, false, true);
+        assert!(never_ran, "{idempotency:?} never ran");
+        let may_have_run = may_reject(idempotency, true, true);
+        assert_eq!(may_have_run, is_allowed, "{idempotency:?}");
     }
 }
+
+/// Guards against a second execution: an engine that ignores idempotency keys neither records the
+/// key of the first attempt nor recognizes the repeat.
+#[test]
+fn a_keyed_request_is_neither_repeated_nor_rejected_around_engines_that_ignore_keys() {
+    let keyed = keyed(DeduplicationScope::All);
+    let with_keys = endpoint(1, 1);
+    let without_keys = Endpoint {
+        ignores_idempotency_keys: true,
+        ..with_keys
+    };
+    let first_of = |first, next| Some(RepeatTargets { first, next });
+    let allowed = |targets| may_repeat(keyed, SENT_AT, targets, SENT_AT);
+    assert!(allowed(first_of(with_keys, None)));
+    assert!(allowed(targets(with_keys, with_keys)));
+    assert!(!allowed(first_of(without_keys, None)));
+    assert!(!allowed(targets(without_keys, with_keys)));
+    assert!(!allowed(targets(with_keys, without_keys)));
+    assert!(may_repeat(
+        Idempotency::Idempotent,
+        SENT_AT,
+        targets(without_keys, without_keys),
+        SENT_AT
+    ));
+
+    assert!(use_idempotency_keys(&[with_keys, with_keys]));
+    assert!(!use_idempotency_keys(&[with_keys, without_keys]));
+    assert!(may_reject(keyed, false, false), "it never ran");
+    assert!(!may_reject(keyed, true, false));
+    assert!(may_reject(Idempotency::Idempotent, true, false));
+}
--- a/tests/unit/in_flight.rs
+++ b/tests/unit/in_flight.rs
@@ -3,7 +3,7 @@
 use super::super::test_builders::in_flight_request;
 use super::*;
 use crate::clock::SEC;
-use crate::policy::api::{CellId, DeduplicationScope, EngineId, ZoneId};
+use crate::policy::api::{CellId, DeduplicationScope, EngineId, RequestId, ZoneId};
 
 const WINDOW: Micros = 20 * SEC;
 
@@ -166,16 +166,61 @@
         let possibly_executed = possibly_executed_at(at, idempotency);
         let in_flight = in_flight_at(at, idempotency, 2);
 
-        assert!(not_executed.may_reject(), "{idempotency:?}");
-        assert_eq!(
-            possibly_executed.may_reject(),
-            retry_is_harmless,
-            "{idempotency:?}"
-        );
-        assert_eq!(in_flight.may_reject(), retry_is_harmless, "{idempotency:?}");
+        let harmless_without_keys = idempotency == Idempotency::Idempotent;
+        for (engines_use_keys, retry_is_harmless) in
+            [(true, retry_is_harmless), (false, harmless_without_keys)]
+        {
+            let may_reject = [&not_executed, &possibly_executed, &in_flight]
+                .map(|request| request.may_reject(engines_use_keys));
+            assert_eq!(
+                may_reject,
+                [true, retry_is_harmless, retry_is_harmless],
+                "{idempotency:?}, engines use keys: {engines_use_keys}"
+            );
+        }
     }
 }
 
+/// Guards against a second execution on an engine that is not sent idempotency keys: neither it nor
+/// any other engine recognizes the duplicate.
+#[test]
+fn a_request_with_a_key_runs_once_on_engines_without_keys() {
+    let with_keys = endpoint(1, 0, 0);
+    let without_keys = Endpoint {
+        ignores_idempotency_keys: true,
+        ..endpoint(2, 0, 0)
+    };
+    let idempotency = with_key(DeduplicationScope::All);
+    let may_start = |first: Endpoint, next: Endpoint| {
+        let retried = possibly_executed_at(first, idempotency);
+        let hedged = in_flight_at(first, idempotency, 2);
+        [&retried, &hedged].map(|request| request.may_start_attempt(2 * SEC, &next))
+    };
+    let other_with_keys = endpoint(3, 0, 0);
+
+    assert_eq!(may_start(with_keys, other_with_keys), [true, true]);
+    assert_eq!(may_start(with_keys, without_keys), [false, false]);
+    assert_eq!(may_start(without_keys, with_keys), [false, false]);
+
+    let message = |endpoint: &Endpoint| {
+        let request = InFlightRequest {
+            request: ClientRequest {
+                idempotency_key: Some("key".into()),
+                ..in_flight_request(idempotency, 1).request
+            },
+            ..in_flight_request(idempotency, 1)
+        };
+        let attempt = AttemptId {
+            request: RequestId(1),
+            attempt: AttemptNo(0),
+        };
+        let message = request.attempt_request(attempt, endpoint, "load".into(), SEC);
+        (message.must_not_repeat, message.idempotency_key.is_some())
+    };
+    assert_eq!(message(&with_keys), (false, true));
+    assert_eq!(message(&without_keys), (true, false));
+}
+
 /// Guards against a second execution by a retry that ends after engines discard its key.
 #[test]
 fn the_idempotency_window_starts_with_the_first_possible_execution() {
