Send nothing on an HTTP engine connection that waits for a response

Cause: HTTP responses are matched with requests by their order, and nothing kept a connection to one open request. Free streams counted attempts and not health checks, also not those that had timed out; the actor chose a connection for a health check by a count that missed statements in its mailbox; and a connection published a stream that came into use only after its reports were taken.

Change: Protocol::awaits_unidentified_response. While it holds, a connection has no free stream and refuses attempts and pings as never sent. A connection whose ping has timed out is closed, with a line in the log. The actor counts unprocessed commands for pings too, and used streams are published before another task runs.

--- a/src/backend/clickhouse.rs
+++ b/src/backend/clickhouse.rs
@@ -303,6 +303,11 @@
         1
     }
 
+    /// A response belongs to the request before it: that to a ping has no identifier at all.
+    fn awaits_unidentified_response(&self) -> bool {
+        self.exchange.is_some()
+    }
+
     fn start_attempt(&mut self, now: Micros, request: &AttemptRequest) -> Vec<u8> {
         let session = request.session.as_deref();
         let query_id = session
--- a/src/backend/connection_state/attempt.rs
+++ b/src/backend/connection_state/attempt.rs
@@ -60,3 +60,14 @@
         load: LoadReport,
     },
 }
+
+impl ConnectionEvent {
+    /// The end of a probe that was not sent.
+    pub fn unsent_probe() -> ConnectionEvent {
+        ConnectionEvent::ProbeCompleted {
+            kind: OutcomeKind::NeverSent,
+            latency: 0,
+            load: LoadReport::default(),
+        }
+    }
+}
--- a/src/backend/connection_state/mod.rs
+++ b/src/backend/connection_state/mod.rs
@@ -66,7 +66,8 @@
 
     /// The number of attempts that can be started in addition to those in flight.
     pub fn free_streams(&self) -> usize {
-        if self.close_reason.is_some() || self.closes_after_attempts() {
+        let is_closing = self.close_reason.is_some() || self.closes_after_attempts();
+        if is_closing || self.protocol.awaits_unidentified_response() {
             return 0;
         }
         let max_streams = self.protocol.max_streams();
@@ -115,20 +116,35 @@
             .min()
     }
 
-    /// Queues the command that starts an attempt.
-    pub fn start_attempt(&mut self, now: Micros, request: &AttemptRequest) {
+    /// Queues the command that starts an attempt. Returns its end instead if the connection waits
+    /// for a response that the attempt would receive; nothing is sent then.
+    pub fn start_attempt(
+        &mut self,
+        now: Micros,
+        request: &AttemptRequest,
+    ) -> Option<ConnectionEvent> {
+        if self.protocol.awaits_unidentified_response() {
+            let end = AttemptResult::unsent(request.attempt_id(), Termination::LocalLimit);
+            return Some(ConnectionEvent::AttemptEnded(end));
+        }
         let command = self.protocol.start_attempt(now, request);
         self.output
             .push_attempt(request.id, command, request.must_not_repeat);
         let pending = PendingAttempt::new(now, request);
         self.pending.insert(request.id, pending);
+        None
     }
 
-    /// Queues a probe.
-    pub fn send_probe(&mut self, now: Micros) {
+    /// Queues a probe. Returns its end instead if the connection waits for a response that the
+    /// probe would receive; nothing is sent then.
+    pub fn send_probe(&mut self, now: Micros) -> Option<ConnectionEvent> {
+        if self.protocol.awaits_unidentified_response() {
+            return Some(ConnectionEvent::unsent_probe());
+        }
         let id = self.probes.register(now);
         let command = self.protocol.send_probe(id);
         self.output.push_control(command);
+        None
     }
 
     fn end_attempt(&mut self, now: Micros, end: AttemptEnd) -> Option<ConnectionEvent> {
@@ -360,8 +376,17 @@
             }
             self.apply(now, output, events);
         }
+        self.expire_probes(now, events);
+    }
+
+    /// Ends the probes that have expired. A connection on which only the late response of a probe
+    /// could follow is closed.
+    fn expire_probes(&mut self, now: Micros, events: &mut Vec<ConnectionEvent>) {
         while let Some(event) = self.probes.expire_next(now) {
             events.push(event);
+            if self.protocol.awaits_unidentified_response() {
+                self.close_unless_closing(Termination::Unresponsive);
+            }
         }
     }
 
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -114,6 +114,13 @@
     /// The number of attempts that the connection can carry at the same time.
     fn max_streams(&self) -> usize;
 
+    /// Whether a response is outstanding that can be matched with its request only by its position
+    /// on the connection. Until it has arrived completely, neither an attempt nor a probe may be
+    /// sent: it would receive this response. Always `false` if responses carry identifiers.
+    fn awaits_unidentified_response(&self) -> bool {
+        false
+    }
+
     /// Encodes the command that starts an attempt. Never empty.
     fn start_attempt(&mut self, now: Micros, request: &AttemptRequest) -> Vec<u8>;
 
--- a/src/net/engine/actor.rs
+++ b/src/net/engine/actor.rs
@@ -200,7 +200,7 @@
         let free = self
             .connections
             .iter()
-            .position(|connection| connection.status.free_streams.get() > 0);
+            .position(ConnectionHandle::has_free_stream);
         let connection = match free {
             Some(index) => &self.connections[index],
             None => self.open_connection(),
--- a/src/net/engine/connection.rs
+++ b/src/net/engine/connection.rs
@@ -7,9 +7,9 @@
 use crate::clock::{self, Micros, SEC};
 use crate::dispatcher::ProbeOutcome;
 use crate::dispatcher::termination::Termination;
+use crate::log;
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::{CountGuard, Shared, sleep_until};
-use crate::policy::api::{LoadReport, OutcomeKind};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future::or;
@@ -259,12 +259,20 @@
             return ControlFlow::Break(Termination::Unresponsive);
         }
         self.state.on_timeout(now, &mut self.events);
+        if self.state.close_reason() == Some(Termination::Unresponsive) {
+            log!(
+                "engine {}: a response did not arrive in time, closing its connection",
+                self.peer.id.0
+            );
+        }
         ControlFlow::Continue(())
     }
 
     fn handle_command(&mut self, now: Micros, command: EngineCommand) {
         match command {
-            EngineCommand::Start(request) => self.state.start_attempt(now, &request),
+            EngineCommand::Start(request) => {
+                self.events.extend(self.state.start_attempt(now, &request));
+            }
             EngineCommand::Cancel { id, attempt } => {
                 self.state
                     .cancel_attempt(now, id, attempt, &mut self.events);
@@ -278,16 +286,22 @@
             // Checked here too: the command may have waited until the connection was established,
             // or the process may have been suspended meanwhile.
             EngineCommand::Probe { not_after } if now >= not_after => {
-                self.events.push(ConnectionEvent::ProbeCompleted {
-                    kind: OutcomeKind::NeverSent,
-                    latency: 0,
-                    load: LoadReport::default(),
-                });
+                self.events.push(ConnectionEvent::unsent_probe());
             }
-            EngineCommand::Probe { .. } => self.state.send_probe(now),
+            EngineCommand::Probe { .. } => self.events.extend(self.state.send_probe(now)),
             EngineCommand::Drain => self.state.drain(now, &mut self.events),
             EngineCommand::CloseIdle | EngineCommand::Remove | EngineCommand::ConnectionEnded => {}
         }
+        self.publish_used_streams();
+    }
+
+    /// Publishes streams that are in use now before any other task runs, so that the actor does not
+    /// assign them again while the reports of this connection wait. Streams that became free are
+    /// published once their ends are reported.
+    fn publish_used_streams(&self) {
+        let published = self.status.free_streams.get();
+        let free_streams = published.min(self.state.free_streams());
+        self.status.free_streams.set(free_streams);
     }
 
     /// Cancels attempts that are about to be sent for a client that has disconnected. The
--- a/src/net/engine/connection_handle.rs
+++ b/src/net/engine/connection_handle.rs
@@ -42,17 +42,21 @@
     /// must never run twice shares no connection: a corrupted response to another attempt, or a
     /// reset, would end it too, and it would be unknown whether it ran.
     pub(super) fn accepts(&self, request: &AttemptRequest, sockets_available: bool) -> bool {
-        let queued = self.commands.len();
-        let unused = self.status.attempts.borrow().is_empty() && queued == 0;
+        let unused = self.status.attempts.borrow().is_empty() && self.commands.is_empty();
         let needs_exclusive = request.must_not_repeat || self.exclusive.get();
         let may_share = unused || !sockets_available || !needs_exclusive;
-        let has_free_stream = self.status.free_streams.get() > queued;
         let abandoned = self
             .status
             .abandoned_requests
             .borrow()
             .contains(&request.id);
-        may_share && has_free_stream && !abandoned
+        may_share && self.has_free_stream() && !abandoned
+    }
+
+    /// Whether the connection can carry one more attempt or probe. Each command that its task has
+    /// not processed yet may use a stream.
+    pub(super) fn has_free_stream(&self) -> bool {
+        self.status.free_streams.get() > self.commands.len()
     }
 
     /// Prefers the connection with the fewest free streams, so that surplus connections become idle
--- a/src/net/engine/mod.rs
+++ b/src/net/engine/mod.rs
@@ -141,6 +141,10 @@
 #[path = "../../../tests/unit/net_engine.rs"]
 mod tests;
 
+#[cfg(test)]
+#[path = "../../../tests/unit/net_engine_http.rs"]
+mod http_tests;
+
 #[cfg(test)]
 #[path = "../../../tests/unit/net_engine_endpoint.rs"]
 mod endpoint_tests;
--- a/tests/unit/connection_state.rs
+++ b/tests/unit/connection_state.rs
@@ -5,11 +5,13 @@
     CANCEL_SETTLE_MICROS, ConnectionEvent, ConnectionState, TAIL_HOLD_MICROS, Termination,
     TransmitProgress,
 };
+use crate::backend::Protocol;
+use crate::backend::clickhouse::{ClickHouse, Credentials};
 use crate::backend::platform::Platform;
 use crate::clock::{MS, Micros};
 use crate::config::process::Names;
 use crate::dispatcher::{AttemptRequest, AttemptResult, Cost};
-use crate::policy::api::{AttemptNo, RequestId};
+use crate::policy::api::{AttemptNo, OutcomeKind, RequestId};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -40,7 +42,7 @@
 }
 
 /// Writes all output that is not held back, and returns it.
-fn write_all(connection: &mut ConnectionState<Platform>, now: Micros) -> Vec<u8> {
+fn write_all<P: Protocol>(connection: &mut ConnectionState<P>, now: Micros) -> Vec<u8> {
     let mut written = Vec::new();
     while let Some(bytes) = connection.pending_output().map(<[u8]>::to_vec) {
         connection.advance_output(now, bytes.len());
@@ -578,3 +580,62 @@
     assert_eq!(events.len(), 2);
     assert_eq!(connection.close_reason(), Some(Termination::Dropped));
 }
+
+/// A new connection to an engine of the ClickHouse interface.
+fn new_http_connection() -> ConnectionState<ClickHouse> {
+    ConnectionState::new(0, ClickHouse::new(Rc::new(Credentials::default())))
+}
+
+/// Guards against a response that is delivered to another request: over HTTP a connection carries
+/// nothing else until the response to an attempt or a probe has arrived.
+#[test]
+fn an_http_connection_sends_nothing_while_it_waits_for_a_response() {
+    let query = attempt(1, "k1", 9_000 * MS);
+    let mut events = Vec::new();
+
+    let mut connection = new_http_connection();
+    assert!(connection.send_probe(0).is_none());
+    let sent = write_all(&mut connection, 0);
+    assert_eq!(connection.free_streams(), 0);
+    events.extend(connection.start_attempt(0, &query));
+    let refused = only_result(&events);
+    assert_eq!(refused.termination, Termination::LocalLimit);
+    assert_eq!(refused.progress, TransmitProgress::Unsent);
+    assert!(!sent.is_empty() && write_all(&mut connection, 0).is_empty());
+
+    let mut connection = new_http_connection();
+    assert!(connection.start_attempt(0, &query).is_none());
+    write_all(&mut connection, 0);
+    let refused = connection.send_probe(0);
+    assert!(matches!(
+        refused,
+        Some(ConnectionEvent::ProbeCompleted {
+            kind: OutcomeKind::NeverSent,
+            ..
+        })
+    ));
+    assert!(write_all(&mut connection, 0).is_empty());
+    events.clear();
+    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na\tb\n";
+    connection.receive(MS, response, &mut events);
+    assert_eq!(&only_result(&events).reply.rows, b"a\tb\n");
+    assert_eq!(connection.free_streams(), 1);
+}
+
+/// A response in parts is outstanding until its last byte.
+#[test]
+fn an_http_connection_is_free_once_the_response_to_a_ping_is_complete() {
+    let mut connection = new_http_connection();
+    let mut events = Vec::new();
+    connection.send_probe(0);
+    write_all(&mut connection, 0);
+
+    connection.receive(
+        MS,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nOk",
+        &mut events,
+    );
+    assert_eq!((connection.free_streams(), events.len()), (0, 0));
+    connection.receive(MS, b".\n", &mut events);
+    assert_eq!((connection.free_streams(), events.len()), (1, 1));
+}
--- a/tests/unit/net_engine.rs
+++ b/tests/unit/net_engine.rs
@@ -19,7 +19,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
-const CLIENT: u64 = 7;
+pub(super) const CLIENT: u64 = 7;
 
 fn attempt(must_not_repeat: bool) -> AttemptRequest {
     AttemptRequest {
@@ -104,7 +104,10 @@
 }
 
 /// The client's end of a connection whose other end has an actor.
-fn connect_client(shared: &Rc<Shared>, dispatcher: &Sender<DispatcherEvent>) -> TcpStream {
+pub(super) fn connect_client(
+    shared: &Rc<Shared>,
+    dispatcher: &Sender<DispatcherEvent>,
+) -> TcpStream {
     let (listener, addr) = listener();
     let client = TcpStream::connect(addr).expect("a connection");
     let (stream, _) = listener.get_ref().accept().expect("a connection");
