Leave shared listeners open while the predecessor of an upgrade serves

Cause: both processes have the same listening socket. A process that shuts down attaches a filter that drops SYN segments and calls shutdown(2) on it, which hold for both. It waited for a successor before that, and knew of no predecessor.

Evidence: the old process logs EINVAL from accept from 0.9 s after the SIGTERM on, when the new one closes its listeners. A new process that is killed, or that gets SIGTERM before it accepts, leaves the old one serving.

Change: the lifecycle knows its predecessor (PredecessorState). A process leaves adopted listeners to a predecessor that serves. A process that is asked to stop says so to the other ("drained", which earlier versions ignore at that time); of two that are both asked, the one asked last closes the listeners. Nothing is transferred to a successor that stops.

--- a/src/hot_restart/message.rs
+++ b/src/hot_restart/message.rs
@@ -14,6 +14,10 @@
 //! of response bytes still to be written; the bytes follow the line. Responses to requests that
 //! were open are sent later as `answer CONN TAG LENGTH` and the bytes. The successor reports a
 //! cancelled request as `withdraw CONN TAG` and a client that disconnected as `gone CONN`.
+//!
+//! A process that is asked to stop sends `drained` to the other one. Of two processes that are both
+//! asked, the one asked last closes the listeners. Processes of earlier versions ignore `drained`
+//! at this time.
 use std::net::SocketAddr;
 use std::str::FromStr;
 use thiserror::Error;
@@ -41,7 +45,8 @@
         /// The listeners' addresses, in the order of the descriptors.
         addresses: Vec<SocketAddr>,
     },
-    /// Operators are draining the predecessor.
+    /// Before the first [`HotRestartMessage::ReservedShare`]: operators are draining the
+    /// predecessor. Later, from either process: the sender was asked to stop.
     Draining,
     /// The successor has started to serve.
     Ready,
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -110,6 +110,20 @@
     Starting,
     /// It serves requests.
     Ready,
+    /// It served and was asked to stop. It leaves the listeners to this process.
+    Stopping,
+}
+
+/// The state of the predecessor of this process in a hot restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PredecessorState {
+    /// There is no predecessor, or it has exited.
+    #[default]
+    None,
+    /// It serves requests and accepts connections from the same backlogs as this process.
+    Serving,
+    /// It was asked to stop before this process. It leaves the listeners to this process.
+    Stopping,
 }
 
 /// The state machine of the process. See the [module](self).
@@ -126,6 +140,7 @@
     closing: bool,
     /// The fraction of the manager's capacity that its predecessors hold.
     predecessor_share: f64,
+    predecessor: PredecessorState,
     successor: SuccessorState,
     /// The remaining fraction of the work that was open when the process was asked to stop.
     remaining_work: f64,
@@ -142,6 +157,7 @@
             stopping_at: None,
             closing: false,
             predecessor_share: 0.0,
+            predecessor: PredecessorState::None,
             successor: SuccessorState::None,
             remaining_work: 1.0,
             excluded: false,
@@ -195,8 +211,23 @@
         };
     }
 
-    /// Sets the state of the successor when it connects, becomes ready, or exits.
+    /// Sets the state of the predecessor when its listeners are adopted, when it is asked to stop,
+    /// or when it exits. If both processes are asked to stop, the first one leaves the listeners to
+    /// the other: a predecessor that is asked later stays [`PredecessorState::Serving`].
+    pub fn set_predecessor(&mut self, predecessor: PredecessorState) {
+        if predecessor == PredecessorState::Stopping && self.is_stopping() {
+            return;
+        }
+        self.predecessor = predecessor;
+    }
+
+    /// Sets the state of the successor when it connects, becomes ready, is asked to stop, or exits.
+    /// If this process was asked to stop before it, the listeners stay the successor's, see
+    /// [`Lifecycle::set_predecessor`].
     pub fn set_successor(&mut self, successor: SuccessorState) {
+        if successor == SuccessorState::Stopping && self.is_stopping() && self.has_successor() {
+            return;
+        }
         self.successor = successor;
     }
 
@@ -267,7 +298,9 @@
     pub fn accepts_until(&self) -> Option<Micros> {
         let linger = match self.successor {
             SuccessorState::Ready => 0,
-            SuccessorState::None | SuccessorState::Starting => ACCEPT_LINGER,
+            SuccessorState::None | SuccessorState::Starting | SuccessorState::Stopping => {
+                ACCEPT_LINGER
+            }
         };
         self.stopping_at.map(|stopping_at| stopping_at + linger)
     }
@@ -336,9 +369,24 @@
         self.took_over_at().is_some()
     }
 
-    /// Whether a successor shares this process's listeners, whether it serves or not.
+    /// Whether a successor shares this process's listeners, and accepts from them now or once it
+    /// serves.
     pub fn has_successor(&self) -> bool {
-        self.successor != SuccessorState::None
+        matches!(
+            self.successor,
+            SuccessorState::Starting | SuccessorState::Ready
+        )
+    }
+
+    /// Whether a predecessor shares this process's listeners and accepts from them.
+    pub fn has_serving_predecessor(&self) -> bool {
+        self.predecessor == PredecessorState::Serving
+    }
+
+    /// Whether another process shares this process's listeners and accepts from them, so that this
+    /// process must not close them for both.
+    pub fn shares_listeners(&self) -> bool {
+        self.has_successor() || self.has_serving_predecessor()
     }
 
     /// When the process was asked to stop, if its successor serves.
@@ -361,7 +409,9 @@
     pub fn forced_end_at(&self, longest_deadline: Micros) -> Option<Micros> {
         let max_wait = match self.successor {
             SuccessorState::Ready => HOT_RESTART_MAX_DEADLINE_WAIT,
-            SuccessorState::None | SuccessorState::Starting => MAX_DEADLINE_WAIT,
+            SuccessorState::None | SuccessorState::Starting | SuccessorState::Stopping => {
+                MAX_DEADLINE_WAIT
+            }
         };
         self.stopping_at
             .map(|stopping_at| stopping_at + longest_deadline.min(max_wait) + FORCED_END_SLACK)
@@ -370,7 +420,7 @@
     /// The fraction of the manager's limits and quotas that this process may use.
     pub fn capacity_share(&self) -> f64 {
         let own_fraction = match self.successor {
-            SuccessorState::Ready => 0.5 * self.remaining_work,
+            SuccessorState::Ready | SuccessorState::Stopping => 0.5 * self.remaining_work,
             SuccessorState::None | SuccessorState::Starting => 1.0,
         };
         (1.0 - self.predecessor_share) * own_fraction
@@ -380,7 +430,7 @@
     /// process and its predecessors.
     pub fn share_reserved_for_predecessors(&self) -> f64 {
         let own_share = match self.successor {
-            SuccessorState::Ready => self.capacity_share(),
+            SuccessorState::Ready | SuccessorState::Stopping => self.capacity_share(),
             SuccessorState::None | SuccessorState::Starting => (1.0 - self.predecessor_share) * 0.5,
         };
         (self.predecessor_share + own_share).min(1.0)
--- a/src/net/client/listener.rs
+++ b/src/net/client/listener.rs
@@ -1,6 +1,6 @@
 //! The listeners of the client frontends.
 use super::connection_registry::shed_idle_connection;
-use super::listener_close::{accept_backlog, close_listener, wait_until_no_successor};
+use super::listener_close::{accept_backlog, close_listener, wait_until_not_shared};
 use super::start;
 use crate::frontend::Frontend;
 use crate::log;
@@ -62,8 +62,8 @@
 }
 
 /// Accepts connections until the process is about to exit or its successor accepts them. Then waits
-/// until no successor shares the listener, accepts the connections in the backlog, and closes the
-/// listener. `new_frontend` creates the protocol of each connection from the connection's number.
+/// until no other process accepts from the listener, accepts the connections in the backlog, and
+/// closes the listener. `new_frontend` creates the protocol of each connection from the connection's number.
 pub async fn listen<F: Frontend + 'static>(
     shared: Rc<Shared>,
     dispatcher: Sender<DispatcherEvent>,
@@ -112,17 +112,22 @@
         wait_for_client_socket(&shared).await;
     }
     drop(incoming);
-    // A successor that has taken over accepts from the same backlog itself.
-    if !shared.lifecycle.borrow().successor_took_over() {
+    if !other_process_accepts(&shared) {
         accept_backlog(&shared, &listener, &serve).await;
     }
-    if shared.lifecycle.borrow().has_successor() {
+    if shared.lifecycle.borrow().shares_listeners() {
         drop(listening);
-        wait_until_no_successor(&shared).await;
+        wait_until_not_shared(&shared).await;
     }
     close_listener(&shared, &listener, &serve).await;
 }
 
+/// Whether another process accepts from the same backlogs now.
+fn other_process_accepts(shared: &Shared) -> bool {
+    let lifecycle = shared.lifecycle.borrow();
+    lifecycle.successor_took_over() || lifecycle.has_serving_predecessor()
+}
+
 /// Waits while the limit on client sockets is reached, and sheds idle connections.
 async fn wait_for_client_socket(shared: &Shared) {
     let stopped = &shared.accepting.1;
--- a/src/net/client/listener_close.rs
+++ b/src/net/client/listener_close.rs
@@ -1,5 +1,5 @@
 //! The close of a listener: the connections in its backlog are accepted, and from then on the
-//! system refuses connections. Otherwise the system would continue to complete connections that no
+//! system refuses connections, also for other processes that share the listener. Otherwise the system would continue to complete connections that no
 //! process accepts, and reset them when the process exits.
 use super::connection_registry::shed_idle_connection;
 use crate::log;
@@ -14,12 +14,12 @@
 
 /// How long a connection whose handshake has begun may take to complete it.
 const HANDSHAKE_GRACE_PERIOD: Duration = Duration::from_millis(1);
-/// The interval at which a listener checks whether a successor that shares it still exists.
-const SUCCESSOR_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The interval at which a listener checks whether another process still shares it.
+const SHARING_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// The interval at which accepting from the backlog is retried while no descriptor is free.
 const DESCRIPTOR_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Empties the backlog, and closes the listener with its duplicates for successors.
+/// Empties the backlog, and closes the listener with its duplicates in all processes.
 pub(super) async fn close_listener(
     shared: &Shared,
     listener: &Async<TcpListener>,
@@ -58,10 +58,10 @@
     ]
 }
 
-/// Waits until no successor shares the listener.
-pub(super) async fn wait_until_no_successor(shared: &Shared) {
-    while shared.lifecycle.borrow().has_successor() {
-        Timer::after(SUCCESSOR_POLL_INTERVAL).await;
+/// Waits until no process that accepts connections shares the listener.
+pub(super) async fn wait_until_not_shared(shared: &Shared) {
+    while shared.lifecycle.borrow().shares_listeners() {
+        Timer::after(SHARING_POLL_INTERVAL).await;
     }
 }
 
@@ -108,9 +108,9 @@
 }
 
 /// Counts the connections in the backlogs of this process's listeners that its exit would reset, by
-/// accepting them. Connections that a successor will accept do not count.
+/// accepting them. Connections that another process will accept do not count.
 pub fn count_unaccepted(shared: &Shared) -> usize {
-    if shared.lifecycle.borrow().has_successor() {
+    if shared.lifecycle.borrow().shares_listeners() {
         return 0;
     }
     let listeners = shared.listeners.borrow();
--- a/src/net/dispatcher/shutdown.rs
+++ b/src/net/dispatcher/shutdown.rs
@@ -128,9 +128,9 @@
         counts.iter().all(|count| count.get() == 0) && self.backlogs_are_handled()
     }
 
-    /// Whether no connection can remain unaccepted in a backlog: the listeners are closed, or a
-    /// successor accepts.
+    /// Whether no connection can remain unaccepted in a backlog: the listeners are closed, or
+    /// another process accepts.
     fn backlogs_are_handled(&self) -> bool {
-        self.shared.open_listeners.get() == 0 || self.shared.lifecycle.borrow().has_successor()
+        self.shared.open_listeners.get() == 0 || self.shared.lifecycle.borrow().shares_listeners()
     }
 }
--- a/src/net/hot_restart/predecessor.rs
+++ b/src/net/hot_restart/predecessor.rs
@@ -62,6 +62,17 @@
         self.update_lifecycle(shared);
     }
 
+    /// Records that a successor was asked to stop. One that did not serve yet stays as it is until
+    /// it exits.
+    pub(super) fn set_stopping(&self, shared: &Shared, id: u64) {
+        if let Some(successor) = self.successors.borrow_mut().get_mut(&id)
+            && successor.state == SuccessorState::Ready
+        {
+            successor.state = SuccessorState::Stopping;
+        }
+        self.update_lifecycle(shared);
+    }
+
     /// Removes a successor whose session has ended, and returns its last state.
     fn remove(&self, shared: &Shared, id: u64) -> Option<SuccessorState> {
         let successor = self.successors.borrow_mut().remove(&id);
@@ -70,13 +81,19 @@
     }
 
     /// Sets the lifecycle's successor state to that of the newest ready successor if there is one,
-    /// otherwise to that of the oldest. Client connections are transferred only to that ready one.
+    /// otherwise to that of one that starts, otherwise to that of one that stops. Client connections
+    /// are transferred only to that ready one.
     fn update_lifecycle(&self, shared: &Shared) {
         let successors = self.successors.borrow();
-        let is_ready = |successor: &&Successor| successor.state == SuccessorState::Ready;
-        let ready = successors.values().rev().find(is_ready);
-        let oldest = successors.values().next();
-        let state = ready.or(oldest).map(|successor| successor.state);
+        let newest_in = |state: SuccessorState| {
+            let mut newest_first = successors.values().rev();
+            newest_first.find(|successor| successor.state == state)
+        };
+        let ready = newest_in(SuccessorState::Ready);
+        let state = ready
+            .or_else(|| newest_in(SuccessorState::Starting))
+            .or_else(|| newest_in(SuccessorState::Stopping))
+            .map(|successor| successor.state);
         let mut lifecycle = shared.lifecycle.borrow_mut();
         lifecycle.set_successor(state.unwrap_or_default());
         *shared.successor.borrow_mut() = ready.map(|successor| successor.items.clone());
@@ -142,7 +159,10 @@
     let id = connection.id;
     predecessor_session::run(&shared, &predecessor, &successors, connection).await;
     let last_state = successors.remove(&shared, id);
-    let served = last_state == Some(SuccessorState::Ready);
+    let served = matches!(
+        last_state,
+        Some(SuccessorState::Ready | SuccessorState::Stopping)
+    );
     if served && !shared.lifecycle.borrow().is_stopping() {
         let _ = socket_lost.try_send(());
     }
--- a/src/net/hot_restart/predecessor_session.rs
+++ b/src/net/hot_restart/predecessor_session.rs
@@ -108,6 +108,7 @@
         clients: BTreeMap::new(),
         work_at_takeover: None,
         reported_share: reserved_share,
+        stop_announced: false,
     };
     if let Err(SessionError::Disconnected) = session.run().await {
         log!("hot restart: the connection to the successor is closed");
@@ -216,6 +217,8 @@
     work_at_takeover: Option<OpenWork>,
     /// The reserved share that was last sent to the successor.
     reported_share: f64,
+    /// Whether the successor was told that this process was asked to stop.
+    stop_announced: bool,
 }
 
 impl PredecessorSession<'_> {
@@ -230,7 +233,7 @@
                 }
                 WakeReason::Received(_) => return Err(SessionError::Disconnected),
                 WakeReason::Outgoing(item) => self.transfer(item).await?,
-                WakeReason::Poll => {}
+                WakeReason::Poll => self.announce_stop().await?,
             }
             self.update_remaining_work();
             self.report_share().await?;
@@ -261,6 +264,10 @@
                 self.successors
                     .set(self.shared, self.id, ready, &self.to_successor);
             }
+            HotRestartMessage::Draining => {
+                log!("hot restart: the successor was asked to stop");
+                self.successors.set_stopping(self.shared, self.id);
+            }
             HotRestartMessage::Cancel { conn, .. } => {
                 if let Some(client) = self.clients.get(&conn) {
                     let _ = client.try_send(message);
@@ -311,6 +318,15 @@
         lifecycle.set_remaining_work(now.fraction_of(start));
     }
 
+    /// Once this process was asked to stop, the successor has to close the listeners in the end.
+    async fn announce_stop(&mut self) -> io::Result<()> {
+        if self.stop_announced || !self.shared.lifecycle.borrow().is_stopping() {
+            return Ok(());
+        }
+        self.stop_announced = true;
+        self.write(HotRestartMessage::Draining).await
+    }
+
     async fn report_share(&mut self) -> io::Result<()> {
         let share = self
             .shared
--- a/src/net/hot_restart/successor_session.rs
+++ b/src/net/hot_restart/successor_session.rs
@@ -6,6 +6,7 @@
 use super::successor::TransferredState;
 use crate::dispatcher::{Failure, Response};
 use crate::hot_restart::message::{HotRestartMessage, MessageReader, TransferredConnection};
+use crate::lifecycle::PredecessorState;
 use crate::log;
 use crate::net::Shared;
 use crate::net::client::AdoptedConnection;
@@ -54,6 +55,7 @@
         to_predecessor,
         outgoing,
         start_serving: Some(start_serving),
+        stop_announced: false,
     };
     let start_serving = session.run().await;
     if let Some(start_serving) = start_serving {
@@ -86,6 +88,8 @@
     outgoing: Receiver<HotRestartMessage>,
     /// `None` once this process serves.
     start_serving: Option<F>,
+    /// Whether the predecessor was told that this process was asked to stop.
+    stop_announced: bool,
 }
 
 impl<F: FnOnce()> SuccessorSession<'_, F> {
@@ -94,7 +98,10 @@
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             match self.next_wake(&mut buffer).await {
-                WakeReason::Poll => self.report_ready_if_able().await,
+                WakeReason::Poll => {
+                    self.report_ready_if_able().await;
+                    self.announce_stop().await;
+                }
                 WakeReason::Outgoing(message) => self.send(message).await,
                 WakeReason::Received(Ok(length)) if length > 0 => {
                     let Ok(messages) = self.reader.feed(&buffer[..length]) else {
@@ -110,19 +117,22 @@
         log!(
             "hot restart: the connection to the predecessor is closed, this process may use all capacity"
         );
-        self.shared
-            .lifecycle
-            .borrow_mut()
-            .set_predecessor_share(0.0);
+        self.record_predecessor_exit();
         self.fail_open_requests();
         self.start_serving
     }
 
+    fn record_predecessor_exit(&self) {
+        let mut lifecycle = self.shared.lifecycle.borrow_mut();
+        lifecycle.set_predecessor(PredecessorState::None);
+        lifecycle.set_predecessor_share(0.0);
+    }
+
     async fn next_wake(&mut self, buffer: &mut [u8]) -> WakeReason {
         let peer = &self.peer;
         let descriptors = &mut self.descriptors;
         let outgoing = &self.outgoing;
-        let serving_is_pending = self.start_serving.is_some();
+        let needs_poll = self.start_serving.is_some() || !self.stop_announced;
         let received = async { WakeReason::Received(receive(peer, buffer, descriptors).await) };
         let outgoing = async {
             match outgoing.recv().await {
@@ -132,7 +142,7 @@
             }
         };
         let poll = async {
-            if !serving_is_pending {
+            if !needs_poll {
                 std::future::pending::<()>().await;
             }
             Timer::after(POLL_INTERVAL).await;
@@ -151,6 +161,15 @@
         }
     }
 
+    /// Once this process was asked to stop, the predecessor has to accept and close the listeners
+    /// and must transfer nothing more.
+    async fn announce_stop(&mut self) {
+        if !self.stop_announced && self.shared.lifecycle.borrow().is_stopping() {
+            self.stop_announced = true;
+            self.send(HotRestartMessage::Draining).await;
+        }
+    }
+
     /// Ignores a failure to send: the connection is closed then, and the next read reports that.
     async fn send(&mut self, message: HotRestartMessage) {
         if let HotRestartMessage::ClientDisconnected { conn } = message {
@@ -165,6 +184,10 @@
                 let mut lifecycle = self.shared.lifecycle.borrow_mut();
                 lifecycle.set_predecessor_share(share);
             }
+            HotRestartMessage::Draining => {
+                let mut lifecycle = self.shared.lifecycle.borrow_mut();
+                lifecycle.set_predecessor(PredecessorState::Stopping);
+            }
             HotRestartMessage::Connection { conn, state } => self.adopt_connection(conn, state),
             HotRestartMessage::Response { conn, tag, bytes } => {
                 if let Some(client) = self.clients.get_mut(&conn) {
--- a/src/startup/hot_restart.rs
+++ b/src/startup/hot_restart.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::config::process::Config;
 use crate::frontend::jsonrpc::JsonRpc;
+use crate::lifecycle::PredecessorState;
 use crate::net::client;
 use crate::net::hot_restart::{
     AdoptConnection, Predecessor, TransferredState, accept_successors, follow_predecessor,
@@ -43,9 +44,11 @@
     ));
 }
 
-/// Takes over a drain of the predecessor, and reserves the predecessor's share of the capacity.
+/// Takes over a drain of the predecessor, records that it shares the listeners, and reserves its
+/// share of the capacity.
 fn adopt_lifecycle(context: &StartContext, transferred: &TransferredState) {
     let mut lifecycle = context.shared.lifecycle.borrow_mut();
+    lifecycle.set_predecessor(PredecessorState::Serving);
     lifecycle.set_predecessor_share(transferred.reserved_share);
     if transferred.draining {
         lifecycle.drain(clock::read());
--- a/src/testkit/daemon/mod.rs
+++ b/src/testkit/daemon/mod.rs
@@ -61,12 +61,18 @@
     /// The address of its admin endpoint, if it has one.
     pub admin_addr: Option<SocketAddr>,
     /// The process that the present one replaces during a hot restart.
-    predecessor: Option<Child>,
+    predecessor: Option<Predecessor>,
     starts: u32,
     options: DaemonOptions,
     folder: Folder,
 }
 
+/// The older process of a hot restart.
+struct Predecessor {
+    child: Child,
+    admin_addr: Option<SocketAddr>,
+}
+
 impl Daemon {
     /// Starts the daemon and waits until it is ready.
     ///
@@ -140,8 +146,10 @@
         let log_path = self.folder.path(&log_file(self.starts));
         let child = spawn(command, program, &log_path)?;
         self.starts += 1;
-        self.predecessor = Some(std::mem::replace(&mut self.child, child));
-        self.admin_addr = admin_addr;
+        self.predecessor = Some(Predecessor {
+            child: std::mem::replace(&mut self.child, child),
+            admin_addr: std::mem::replace(&mut self.admin_addr, admin_addr),
+        });
         Ok(())
     }
 
@@ -169,7 +177,7 @@
     /// Sends SIGTERM to the predecessor.
     pub fn terminate_predecessor(&self) {
         if let Some(predecessor) = &self.predecessor {
-            signal(predecessor, Signal::TERM);
+            signal(&predecessor.child, Signal::TERM);
         }
     }
 
@@ -177,7 +185,8 @@
     pub async fn wait_for_predecessor_exit(&mut self) -> Option<ExitStatus> {
         let mut status = None;
         wait_until(|| {
-            status = self.predecessor.as_mut().and_then(exit_status);
+            let predecessor = self.predecessor.as_mut();
+            status = predecessor.and_then(|predecessor| exit_status(&mut predecessor.child));
             status.is_some()
         })
         .await;
@@ -185,15 +194,31 @@
         status
     }
 
+    /// Waits until the successor exits; returns `None` if it does not exit in time. The predecessor
+    /// becomes the present process again.
+    pub async fn wait_for_successor_exit(&mut self) -> Option<ExitStatus> {
+        let status = self.wait_for_exit().await;
+        self.restore_predecessor();
+        status
+    }
+
+    /// Makes the predecessor the present process again, and returns the successor.
+    fn restore_predecessor(&mut self) -> Option<Child> {
+        let predecessor = self.predecessor.take()?;
+        self.admin_addr = predecessor.admin_addr;
+        Some(std::mem::replace(&mut self.child, predecessor.child))
+    }
+
     /// Kills one of the processes of a hot restart. If the successor is killed, the predecessor
     /// becomes the present process again.
     pub fn kill(&mut self, process: DaemonProcess) {
-        let Some(mut killed) = self.predecessor.take() else {
+        let killed = match process {
+            DaemonProcess::Predecessor => self.predecessor.take().map(|older| older.child),
+            DaemonProcess::Successor => self.restore_predecessor(),
+        };
+        let Some(mut killed) = killed else {
             return;
         };
-        if process == DaemonProcess::Successor {
-            std::mem::swap(&mut killed, &mut self.child);
-        }
         let _ = killed.kill();
         let _ = killed.wait();
     }
--- a/src/testkit/scenario/daemon.rs
+++ b/src/testkit/scenario/daemon.rs
@@ -3,6 +3,8 @@
 use super::{ScenarioRun, parse_number};
 use crate::testkit::daemon::DaemonProcess;
 use crate::testkit::{clients, pause};
+use rustix::process::Signal;
+use std::os::unix::process::ExitStatusExt;
 
 /// The interval at which the daemon's counters are polled.
 const COUNTER_POLL_MILLIS: u64 = 20;
@@ -29,6 +31,7 @@
     LaunchReadySuccessor,
     TerminatePredecessor,
     ExpectPredecessorExited,
+    ExpectSuccessorExited,
     Kill(DaemonProcess),
     Terminate,
     ExpectExited,
@@ -64,6 +67,7 @@
             ["follow"] => DaemonStep::LaunchReadySuccessor,
             ["retire"] => DaemonStep::TerminatePredecessor,
             ["retired"] => DaemonStep::ExpectPredecessorExited,
+            ["reverted"] => DaemonStep::ExpectSuccessorExited,
             ["kill", "older"] => DaemonStep::Kill(DaemonProcess::Predecessor),
             ["kill", "newer"] => DaemonStep::Kill(DaemonProcess::Successor),
             ["term"] => DaemonStep::Terminate,
@@ -112,6 +116,7 @@
             DaemonStep::LaunchReadySuccessor => self.daemon_mut()?.start_successor(program).await?,
             DaemonStep::TerminatePredecessor => self.daemon()?.terminate_predecessor(),
             DaemonStep::ExpectPredecessorExited => self.expect_predecessor_exited().await?,
+            DaemonStep::ExpectSuccessorExited => self.expect_successor_exited().await?,
             DaemonStep::Kill(process) => self.daemon_mut()?.kill(process),
             DaemonStep::Terminate => self.daemon()?.terminate(),
             DaemonStep::ExpectExited => self.expect_exited().await?,
@@ -135,6 +140,14 @@
         expect(status.success(), || status.to_string())
     }
 
+    /// A process that is asked to stop before it handles signals is ended by the signal.
+    async fn expect_successor_exited(&mut self) -> Result<(), StepError> {
+        let status = self.daemon_mut()?.wait_for_successor_exit().await;
+        let status = status.ok_or(StepError::Timeout)?;
+        let is_ended_by_term = status.signal() == Some(Signal::TERM.as_raw());
+        expect(status.success() || is_ended_by_term, || status.to_string())
+    }
+
     async fn expect_exited(&mut self) -> Result<(), StepError> {
         let status = self.daemon_mut()?.wait_for_exit().await;
         let status = status.ok_or(StepError::Timeout)?;
--- a/src/testkit/scenario/mod.rs
+++ b/src/testkit/scenario/mod.rs
@@ -67,6 +67,7 @@
 //! | `spoil` | makes the daemon reload an invalid configuration |
 //! | `launch`, `follow` | starts a successor of the daemon, or starts one and waits until it is ready |
 //! | `retire`, `retired` | sends SIGTERM to the predecessor, or waits until it has exited with status 0 |
+//! | `reverted` | after `term` to the successor: waits until it has exited with status 0, or by the signal if that came before its handler; the predecessor is the daemon again |
 //! | `kill older\|newer` | kills the predecessor or the successor of a hot restart |
 //! | `call METHOD PATH STATUS` | calls the admin endpoint until the response has this status |
 //! | `figure NAME VALUE` | waits until a metric of the admin endpoint has this value; `runs` stands for the number of attempts that engines have received, without those of streams |
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -50,6 +50,72 @@
     );
 }
 
+/// Asks over a new connection and over one that was opened before the hot restart, and checks that
+/// the process says that it is ready.
+const SERVES: &str = "call GET /ready 200\n\
+    ask NEW rpc lookup billing-desk 9000 SELECT 1\nexpect NEW served\n\
+    ask OLD on client lookup billing-desk 9000 SELECT 1\nexpect OLD served\n";
+
+/// Runs the events of a hot restart. `serves NAME` stands for the checks in [`SERVES`].
+fn run_hot_restart(events: &str) {
+    let mut steps = "engine one platform\nconsole\nstart\nkeep client\n\
+        ask first on client lookup billing-desk 9000 SELECT 1\nexpect first served\n"
+        .to_owned();
+    for event in events.split(", ") {
+        match event.strip_prefix("serves ") {
+            Some(name) => {
+                let names = [format!("{name}-new"), format!("{name}-old")];
+                steps += &SERVES.replace("NEW", &names[0]).replace("OLD", &names[1]);
+            }
+            None => steps += &format!("{event}\n"),
+        }
+    }
+    run_scenario(&format!("{steps}term\nended\ncounter open 0"));
+}
+
+/// Guards the predecessor against a successor that ends first: in a past fault the successor closed
+/// the listener for both, and the predecessor said that it was ready and refused every connection.
+/// The pauses let the successor begin to accept, which it does shortly after it is ready.
+#[test]
+fn a_predecessor_serves_after_its_successor_has_stopped_or_was_killed() {
+    run_hot_restart(
+        "follow, wait 200, term, reverted, serves a, follow, wait 200, retire, retired, serves b",
+    );
+    run_hot_restart("follow, wait 200, kill newer, serves a, follow, term, reverted, serves b");
+    run_hot_restart(
+        "launch, term, reverted, serves a, launch, wait 30, term, reverted, follow, retire, retired, serves b",
+    );
+    run_hot_restart("launch, kill newer, serves a, launch, wait 30, kill newer, serves b");
+}
+
+/// Guards the successor against a predecessor that ends first, before or after the successor serves.
+#[test]
+fn a_successor_serves_after_its_predecessor_has_stopped_or_was_killed() {
+    run_hot_restart("follow, retire, retired, serves a");
+    run_hot_restart("launch, retire, retired, serves a");
+    for start in ["launch", "follow"] {
+        run_scenario(&format!(
+            "engine one platform\nconsole\nstart\n{start}\nkill older\ncall GET /ready 200\n\
+            ask a rpc lookup billing-desk 9000 SELECT 1\nexpect a served\nterm\nended\ncounter open 0"
+        ));
+    }
+}
+
+/// Guards against processes that wait for each other when both are asked to stop.
+#[test]
+fn two_processes_that_are_both_asked_to_stop_exit_in_either_order() {
+    for events in [
+        "retire\nterm",
+        "term\nretire",
+        "retire\nwait 300\nterm",
+        "term\nwait 300\nretire",
+    ] {
+        run_scenario(&format!(
+            "engine one platform\nconsole\nstart\nfollow\n{events}\nretired\nended\ncounter open 0"
+        ));
+    }
+}
+
 /// Guards clients whose connections were transferred before the predecessor was killed: its open
 /// requests fail at once, the load is not executed again, and the connections stay open.
 #[test]
--- a/tests/unit/lifecycle.rs
+++ b/tests/unit/lifecycle.rs
@@ -1,7 +1,8 @@
 //! The lifecycle against a model under random steps, and the guarantees that the actors depend on.
 use super::{
     ACCEPT_LINGER, CLIENT_DISCOVERY_DELAY, DRAIN_CLOSE_SPREAD, DRAIN_REJECT_DELAY,
-    HOT_RESTART_REJECT_DELAY, Lifecycle, MIN_REMAINING_WORK, Stage, SuccessorState,
+    HOT_RESTART_REJECT_DELAY, Lifecycle, MIN_REMAINING_WORK, PredecessorState, Stage,
+    SuccessorState,
 };
 use crate::clock::{MS, Micros, SEC};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -287,3 +288,75 @@
         );
     }
 }
+
+/// What happens to the two processes of a hot restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PairEvent {
+    /// The predecessor is asked to stop, and the successor is notified.
+    PredecessorStops,
+    /// The successor is asked to stop, and the predecessor is notified.
+    SuccessorStops,
+    PredecessorExits,
+    SuccessorExits,
+}
+
+/// Whether the predecessor and the successor are left to close the listeners after these events.
+fn closers(events: &[PairEvent]) -> (bool, bool) {
+    let mut predecessor = Lifecycle::default();
+    let mut successor = Lifecycle::default();
+    predecessor.set_successor(SuccessorState::Ready);
+    successor.set_predecessor(PredecessorState::Serving);
+    for event in events {
+        match event {
+            PairEvent::PredecessorStops => {
+                predecessor.begin_shutdown(SEC);
+                successor.set_predecessor(PredecessorState::Stopping);
+            }
+            PairEvent::SuccessorStops => {
+                successor.begin_shutdown(SEC);
+                predecessor.set_successor(SuccessorState::Stopping);
+            }
+            PairEvent::PredecessorExits => successor.set_predecessor(PredecessorState::None),
+            PairEvent::SuccessorExits => predecessor.set_successor(SuccessorState::None),
+        }
+    }
+    (
+        !predecessor.shares_listeners(),
+        !successor.shares_listeners(),
+    )
+}
+
+/// Guards against a listener that one process closes for both while the other one serves, and
+/// against connections in the backlog that neither process accepts.
+#[test]
+fn of_two_processes_the_one_that_stops_last_closes_the_listeners() {
+    use PairEvent::{PredecessorExits, PredecessorStops, SuccessorExits, SuccessorStops};
+    let (predecessor, successor, neither) = ((true, false), (false, true), (false, false));
+    for (events, expected) in [
+        (&[][..], neither),
+        (&[SuccessorStops], predecessor),
+        (&[PredecessorStops], successor),
+        (&[SuccessorStops, PredecessorStops], predecessor),
+        (&[PredecessorStops, SuccessorStops], successor),
+    ] {
+        assert_eq!(closers(events), expected, "{events:?}");
+    }
+    let (_, successor_closes) = closers(&[SuccessorStops, PredecessorStops, PredecessorExits]);
+    assert!(successor_closes, "it is the only process left");
+    let (predecessor_closes, _) = closers(&[PredecessorStops, SuccessorStops, SuccessorExits]);
+    assert!(predecessor_closes, "it is the only process left");
+}
+
+/// Guards the limits that both processes share: a successor that stops still uses its part.
+#[test]
+fn a_process_serves_on_its_part_of_the_capacity_until_its_stopping_successor_exits() {
+    let mut lifecycle = Lifecycle::default();
+    lifecycle.endpoint_list_received();
+    lifecycle.set_successor(SuccessorState::Ready);
+    lifecycle.set_successor(SuccessorState::Stopping);
+    assert_eq!(lifecycle.capacity_share(), 0.5);
+    assert!(lifecycle.is_ready() && !lifecycle.successor_took_over());
+    lifecycle.begin_shutdown(SEC);
+    assert!(!lifecycle.successor_took_over());
+    assert_eq!(lifecycle.accepts_until(), Some(SEC + ACCEPT_LINGER));
+}
