Refuse HTTP responses that cannot belong to the statement that would get them

What callers could see: "Ok." as the result of a statement after an engine of the ClickHouse interface answered a health check twice.

Cause: a response was taken as the result of the open statement even if nothing of the statement was written yet, or its last bytes were held back; and a result without the query's identifier was taken from engines that send it otherwise.

Change: the connection's state machine ends such an attempt as a violation of the protocol, which proves that it never ran, and closes the connection. A result without X-ClickHouse-Query-Id is a violation on a connection on which the engine has sent that header; exceptions may lack it.

Not covered: a duplicate after the statement was written, on a connection without an identified result.

--- a/src/backend/clickhouse.rs
+++ b/src/backend/clickhouse.rs
@@ -13,6 +13,8 @@
 /// Longest time without further bytes of an incomplete response. The engine writes a response only
 /// once the query has ended, so long pauses within one are not expected.
 const RESPONSE_GAP_TIMEOUT_MICROS: Micros = 2 * SEC;
+/// The status of a result, and of the response to a ping.
+const SUCCESS_STATUS: &str = "200";
 /// The header with the identifier of the query that a response belongs to.
 const QUERY_ID_HEADER: &str = "x-clickhouse-query-id";
 /// The header that holds the code of an exception.
@@ -68,6 +70,8 @@
     response: Option<PendingResponse>,
     rows: Vec<u8>,
     reusable: bool,
+    /// Whether the engine has identified a response by [`QUERY_ID_HEADER`].
+    identifies_responses: bool,
     /// When the latest bytes of an incomplete response were received.
     partial_response_at: Option<Micros>,
 }
@@ -82,6 +86,7 @@
             response: None,
             rows: Vec::new(),
             reusable: true,
+            identifies_responses: false,
             partial_response_at: None,
         }
     }
@@ -150,16 +155,23 @@
         Ok(HeadStatus::Final)
     }
 
-    /// Detects a duplicate response, or one to an earlier query. Only possible if the response has
-    /// the header [`QUERY_ID_HEADER`].
-    fn check_query_id(&self, head: &Head) -> Result<(), ProtocolError> {
+    /// Detects a duplicate response, or one to an earlier request. An engine that has identified a
+    /// response by [`QUERY_ID_HEADER`] identifies all results; its exceptions may lack the header,
+    /// and other engines never send it.
+    fn check_query_id(&mut self, head: &Head) -> Result<(), ProtocolError> {
         let Some(Exchange::Query { query_id, .. }) = &self.exchange else {
             return Ok(());
         };
+        let [_, status, _] = &head.start_line;
         match head.field(QUERY_ID_HEADER) {
-            Some(found) if *found != **query_id => Err(ProtocolError::Violation),
-            _ => Ok(()),
+            Some(found) if *found == **query_id => self.identifies_responses = true,
+            Some(_) => return Err(ProtocolError::Violation),
+            None if self.identifies_responses && status == SUCCESS_STATUS => {
+                return Err(ProtocolError::Violation);
+            }
+            None => {}
         }
+        Ok(())
     }
 
     /// Reads the body of a response from the input. Returns whether the body is complete.
@@ -198,7 +210,7 @@
         let rows = std::mem::take(&mut self.rows);
         let [version, status, _] = &head.start_line;
         self.reusable &= head.keeps_alive(version);
-        let success = status == "200";
+        let success = status == SUCCESS_STATUS;
         match self.exchange.take() {
             Some(Exchange::Query { id, .. }) => {
                 let exception = exception_code(&head, success, &rows);
@@ -238,7 +250,7 @@
 /// The termination of a query with a complete response.
 fn query_termination(status: &str, exception: Option<u32>, rows: &[u8]) -> Termination {
     match (status, exception) {
-        ("200", None) if has_uniform_columns(rows) => Termination::Done,
+        (SUCCESS_STATUS, None) if has_uniform_columns(rows) => Termination::Done,
         // This exception means that the engine did not start the query. After any other error the
         // query may have been started.
         ("503", Some(TOO_MANY_SIMULTANEOUS_QUERIES)) => Termination::Rejected,
--- a/src/backend/connection_state/mod.rs
+++ b/src/backend/connection_state/mod.rs
@@ -356,7 +356,10 @@
         }
         for event in output.events {
             let event = match event {
-                BackendEvent::AttemptEnded(end) => self.end_attempt(now, end),
+                BackendEvent::AttemptEnded(end) => {
+                    let end = self.reject_premature(end);
+                    self.end_attempt(now, end)
+                }
                 BackendEvent::ProbeCompleted { probe, kind, load } => {
                     self.probes.complete(now, probe, kind, load)
                 }
@@ -365,6 +368,23 @@
         }
     }
 
+    /// Replaces the end of an attempt that the engine cannot have responded to: nothing of it was
+    /// written yet, or it is said to be done while its last bytes are held back. The response
+    /// belongs to an earlier request, and nothing that follows it can be trusted.
+    fn reject_premature(&mut self, end: AttemptEnd) -> AttemptEnd {
+        let progress = self.pending.get(&end.id).map(|pending| pending.progress);
+        let is_premature = match progress {
+            Some(TransmitProgress::Unsent) => true,
+            Some(TransmitProgress::Partial) => end.termination == Termination::Done,
+            Some(TransmitProgress::Complete) | None => false,
+        };
+        if !is_premature {
+            return end;
+        }
+        self.close_unless_closing(Termination::ProtocolViolation);
+        AttemptEnd::without_result(end.id, Termination::ProtocolViolation)
+    }
+
     /// Processes all timeouts that have expired at `now`.
     pub fn on_timeout(&mut self, now: Micros, events: &mut Vec<ConnectionEvent>) {
         self.tail_held_until = self.tail_held_until.filter(|until| *until > now);
--- a/tests/unit/connection_state.rs
+++ b/tests/unit/connection_state.rs
@@ -10,6 +10,7 @@
 use crate::backend::platform::Platform;
 use crate::clock::{MS, Micros};
 use crate::config::process::Names;
+use crate::dispatcher::termination::{never_ran, outcome};
 use crate::dispatcher::{AttemptRequest, AttemptResult, Cost};
 use crate::policy::api::{AttemptNo, OutcomeKind, RequestId};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -639,3 +640,72 @@
     connection.receive(MS, b".\n", &mut events);
     assert_eq!((connection.free_streams(), events.len()), (1, 1));
 }
+
+const PING_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nOk.\n";
+
+/// A connection whose engine has answered a ping.
+fn http_connection_after_ping() -> ConnectionState<ClickHouse> {
+    let mut connection = new_http_connection();
+    connection.send_probe(0);
+    write_all(&mut connection, 0);
+    connection.receive(MS, PING_RESPONSE, &mut Vec::new());
+    connection
+}
+
+/// Guards against the duplicate of a response as the result of a statement that the engine does not
+/// have yet: the attempt never ran, and the connection is closed.
+#[test]
+fn a_response_before_its_statement_is_written_is_not_its_result() {
+    for must_not_repeat in [false, true] {
+        let mut connection = http_connection_after_ping();
+        let mut events = Vec::new();
+        let query = AttemptRequest {
+            must_not_repeat,
+            ..attempt(1, "k1", 9_000 * MS)
+        };
+        connection.start_attempt(MS, &query);
+        if must_not_repeat {
+            write_all(&mut connection, MS); // the last bytes are held back
+        }
+
+        connection.receive(MS, PING_RESPONSE, &mut events);
+
+        let result = only_result(&events);
+        assert_eq!(result.termination, Termination::ProtocolViolation);
+        assert!(never_ran(outcome(result.termination, result.progress)));
+        assert_eq!(
+            connection.close_reason(),
+            Some(Termination::ProtocolViolation)
+        );
+    }
+}
+
+/// Guards against the duplicate of a response to a ping as the result of a statement, at engines
+/// that identify the results of statements. Their exceptions may lack the identifier.
+#[test]
+fn a_result_without_the_identifier_that_the_engine_sends_otherwise_is_rejected() {
+    let result_of_first =
+        b"HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: k1\r\nContent-Length: 4\r\n\r\na\tb\n";
+    let exception = b"HTTP/1.1 500 Error\r\nContent-Length: 26\r\n\r\nCode: 241. DB::Exception: \n";
+    for (response, expected) in [
+        (PING_RESPONSE, Termination::ProtocolViolation),
+        (exception, Termination::EngineError),
+    ] {
+        let mut connection = http_connection_after_ping();
+        let mut events = Vec::new();
+        connection.start_attempt(MS, &attempt(1, "k1", 9_000 * MS));
+        write_all(&mut connection, MS);
+        connection.receive(2 * MS, result_of_first, &mut events);
+        assert_eq!(only_result(&events).termination, Termination::Done);
+        connection.start_attempt(2 * MS, &attempt(2, "k2", 9_000 * MS));
+        write_all(&mut connection, 2 * MS);
+        events.clear();
+
+        connection.receive(3 * MS, response, &mut events);
+        if let Some(reason) = connection.close_reason() {
+            connection.close(3 * MS, reason, &mut events);
+        }
+
+        assert_eq!(only_result(&events).termination, expected);
+    }
+}
