Do not bring back a lost lease by a late renewal under its old token

What could be seen: a process that lost its lease held it again under the same fencing token, while tokens have to increase with each acquisition.

Cause: a renewal keeps the token. Votes for it that arrived after the lease had expired were taken for an acquisition.

Change: the round that would renew a lease ends when the lease expires.

--- a/src/lease/candidate.rs
+++ b/src/lease/candidate.rs
@@ -101,6 +101,14 @@
         self.round.is_none() && now >= self.next_round_at
     }
 
+    /// Ends the lease if it has expired, and returns it. A round that would renew it ends as well: a
+    /// lost lease is acquired again only under a new token.
+    fn expire_lease(&mut self, now: Micros) -> Option<HeldLease> {
+        let expired = self.held.take_if(|held| now >= held.expires_at)?;
+        self.round.take_if(|round| round.token == expired.token);
+        Some(expired)
+    }
+
     /// Ends a round that did not get a majority before the timeout.
     fn expire_round(&mut self, timeout: Micros, now: Micros) {
         self.round.take_if(|round| now >= round.sent_at + timeout);
@@ -293,7 +301,7 @@
         let renewal_window = self.renewal_window();
         let grant_duration = self.timing.grant_duration();
         for (resource, lease) in &mut self.leases {
-            if let Some(expired) = lease.held.take_if(|held| now >= held.expires_at) {
+            if let Some(expired) = lease.expire_lease(now) {
                 actions.push(LeaseAction::Lost {
                     resource: *resource,
                     token: expired.token,
--- a/tests/unit/lease/safety.rs
+++ b/tests/unit/lease/safety.rs
@@ -143,3 +143,59 @@
         (fleet.now - released_at) / MS
     );
 }
+
+/// Runs the candidate at `now` and returns its actions.
+fn tick(candidate: &mut Candidate, now: Micros) -> Vec<LeaseAction> {
+    let mut actions = Vec::new();
+    candidate.tick(|_| true, now, &mut actions);
+    actions
+}
+
+/// Delivers the votes of all voters for the requests in `actions`, and returns the actions that
+/// follow.
+fn grant_all(
+    candidate: &mut Candidate,
+    fence: &mut FencingGuard,
+    requests: &[LeaseAction],
+    now: Micros,
+) -> Vec<LeaseAction> {
+    let mut actions = Vec::new();
+    for action in requests {
+        if let LeaseAction::Request { voter, request } = action {
+            let reply = VoteReply {
+                voter: voter.clone(),
+                resource: request.resource,
+                round: request.round,
+                vote: Vote::Granted,
+            };
+            candidate.on_vote(&reply, fence, now, &mut actions);
+        }
+    }
+    actions
+}
+
+/// Guards against a token under which a lease is acquired twice: the votes for a renewal arrive
+/// after the lease has expired.
+#[test]
+fn a_lost_lease_is_not_acquired_again_under_its_token() {
+    let voters = ["a", "b", "c"].map(str::to_owned).to_vec();
+    let mut candidate = Candidate::new(holder("a"), voters, timing(), 1);
+    let mut fence = FencingGuard::default();
+    let mut requests = Vec::new();
+    candidate.request_lease(RESOURCE, &fence, 0, &mut requests);
+    grant_all(&mut candidate, &mut fence, &requests, 0);
+    let lease = candidate.held_lease(RESOURCE, 0).expect("a lease");
+
+    let renewal = tick(&mut candidate, lease.expires_at - 1);
+    assert!(!renewal.is_empty(), "a renewal was requested");
+    let lost = tick(&mut candidate, lease.expires_at);
+    assert!(matches!(lost[..], [LeaseAction::Lost { .. }]), "{lost:?}");
+    let late = grant_all(&mut candidate, &mut fence, &renewal, lease.expires_at + MS);
+
+    assert!(late.is_empty(), "{late:?}");
+    let mut requests = Vec::new();
+    let later = lease.expires_at + timing().grant_duration();
+    candidate.request_lease(RESOURCE, &fence, later, &mut requests);
+    grant_all(&mut candidate, &mut fence, &requests, later);
+    assert!(candidate.token_if_held(RESOURCE, later) > Some(lease.token));
+}
