--- a/src/backend/connection_state/mod.rs
+++ b/src/backend/connection_state/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of one connection to an engine, without its socket: output that is queued to
 //! be written, attempts in flight, pending probes, and how each of them ends. The caller moves
 //! bytes between the state machine and a socket. The type parameter is the engine's [`Protocol`].
+mod abandoned_requests;
 mod attempt;
 mod output_queue;
 mod probes;
@@ -12,10 +13,11 @@
 use crate::dispatcher::termination::{Termination, TransmitProgress, outcome};
 use crate::dispatcher::{AttemptReply, AttemptRequest, AttemptResult};
 use crate::policy::api::{AttemptNo, RequestId};
+use abandoned_requests::AbandonedRequests;
 use attempt::PendingAttempt;
 use output_queue::{OutputQueue, SegmentKind};
 use probes::PendingProbes;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Delay between the cancellation of an attempt and its reported end. A retry may be sent on
 /// another connection, and the cancel command has to reach the engine before it.
@@ -24,9 +26,6 @@
 /// round trip. If the connection is reset during the delay, the engine has not received the whole
 /// command, which proves that the attempt did not run.
 const TAIL_HOLD_MICROS: Micros = 5 * MS;
-/// Limit on the requests kept in [`ConnectionState::abandoned_requests`]; the oldest are removed
-/// first.
-const MAX_ABANDONED_REQUESTS: usize = 256;
 
 /// The state of one connection with the protocol `P`.
 pub struct ConnectionState<P> {
@@ -41,7 +40,7 @@
     /// Set once an attempt is slow or cancelled and nothing was received since it was sent. The
     /// connection may be dead, so it carries no new attempts.
     suspect: bool,
-    abandoned_requests: VecDeque<RequestId>,
+    abandoned_requests: AbandonedRequests,
     commands_written: u64,
     close_reason: Option<Termination>,
 }
@@ -58,7 +57,7 @@
             last_received_at: now,
             idle_since: now,
             suspect: false,
-            abandoned_requests: VecDeque::new(),
+            abandoned_requests: AbandonedRequests::default(),
             commands_written: 0,
             close_reason: None,
         }
@@ -88,7 +87,7 @@
     /// A retry needs another connection: a late message about the earlier attempt, such as an error
     /// for each requested page, would be taken for the end of the retry.
     pub fn abandoned_requests(&self) -> impl Iterator<Item = RequestId> {
-        self.abandoned_requests.iter().copied()
+        self.abandoned_requests.iter()
     }
 
     /// Since when the connection has been idle, with no attempt, no probe and no output. `None` if
@@ -155,7 +154,7 @@
             Termination::Done | Termination::Rejected | Termination::AlreadyFinished
         );
         if !ended_cleanly && !pending.is_unsent() {
-            self.record_abandoned(end.id);
+            self.abandoned_requests.record(end.id);
         }
         Some(ConnectionEvent::AttemptEnded(AttemptResult {
             id: end.id,
@@ -170,13 +169,6 @@
         }))
     }
 
-    fn record_abandoned(&mut self, id: RequestId) {
-        self.abandoned_requests.push_back(id);
-        if self.abandoned_requests.len() > MAX_ABANDONED_REQUESTS {
-            self.abandoned_requests.pop_front();
-        }
-    }
-
     /// Removes an attempt before its first byte is written, and ends it.
     fn end_unsent_attempt(
         &mut self,
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -5,8 +5,13 @@
 //! report, of whether the listeners accept connections, and of when an idle client connection is
 //! closed.
 
+mod peer_state;
+mod stage;
+
+pub use peer_state::{PredecessorState, SuccessorState};
+pub use stage::Stage;
+
 use crate::clock::{MS, Micros};
-use std::fmt;
 
 /// Time from the start of a drain until clients stop connecting: the platform's front, which
 /// directs clients to ready managers, polls readiness ten times a second and takes about 0.2 s to
@@ -55,77 +60,6 @@
 /// connection numbers to evenly distributed values.
 const FIBONACCI_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// The stage of the process, as reported to operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// No endpoint list has been received yet.
-    Starting,
-    /// Serving.
-    Ready,
-    /// Operators requested a drain: clients have to move to other managers.
-    Draining,
-    /// A successor serves in parallel with this process: both processes act as one manager.
-    HotRestart,
-    /// The process was asked to stop.
-    Stopping,
-}
-
-impl Stage {
-    /// The stage's name on the admin endpoint.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Stage::Starting => "starting",
-            Stage::Ready => "ready",
-            Stage::Draining => "draining",
-            Stage::HotRestart => "handingover",
-            Stage::Stopping => "stopping",
-        }
-    }
-
-    /// The stage's name in the fleet's member updates.
-    pub fn name_in_member_updates(self) -> &'static str {
-        match self {
-            Stage::Starting => "starting",
-            Stage::Ready => "ready",
-            Stage::Draining => "draining",
-            Stage::HotRestart => "hotrestart",
-            Stage::Stopping => "stopping",
-        }
-    }
-}
-
-impl fmt::Display for Stage {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-/// The state of the successor of this process in a hot restart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum SuccessorState {
-    /// There is no successor.
-    #[default]
-    None,
-    /// It has received the listeners and prepares to serve.
-    Starting,
-    /// It serves requests.
-    Ready,
-    /// It served and was asked to stop. It leaves the listeners to this process.
-    Stopping,
-}
-
-/// The state of the predecessor of this process in a hot restart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum PredecessorState {
-    /// There is no predecessor, or it has exited.
-    #[default]
-    None,
-    /// It serves requests and accepts connections from the same backlogs as this process.
-    Serving,
-    /// It was asked to stop before this process. It leaves the listeners to this process.
-    Stopping,
-}
-
 /// The state machine of the process. See the [module](self).
 #[derive(Clone, Debug)]
 pub struct Lifecycle {
