--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,35 +1,69 @@
-//! Two processes of an upgrade that are both asked to stop, the older one first, while requests run.
+//! An upgrade while statements of the ClickHouse interface run on engines of the platform: the two
+//! processes give the same ids to different requests.
+//!
+//! The engines keep results by the request's id, as `page ID N` and `forget ID` name nothing else.
 #[path = "../common-2.rs"]
 mod common;
 
 use common::{
-    Coordinator, Engine, Listed, Plan, Received, Rpc, at_ms, await_ready, begin, config,
-    free_address, known, note, pause, rows_of, settings, start_manager, trouble, verdict,
+    Coordinator, Engine, Listed, Plan, await_ready, begin, clickhouse_file, config, free_address,
+    http, http_query, known, note, pause, rows_of, settings, start_manager, trouble, verdict,
     write_file,
 };
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
 
-/// How long the long requests run: shorter than the time that a stopping process has.
-const RUN_MS: u64 = 3_000;
-/// The time between the two requests to stop.
-const BETWEEN_MS: u64 = 700;
-/// The wait of the long requests.
-const WAIT_MS: u64 = 12_000;
-/// The time limit of a final answer after its wait, beyond which the request counts as lost.
-const LOST_AFTER_MS: u64 = 550;
+/// How long the statements run that are sent before and after the upgrade.
+const EARLIER_RUN_MS: u64 = 2_500;
+const LATER_RUN_MS: u64 = 1_900;
+/// How long an engine takes to read a further page of a result, and the rows of a result: 7 pages,
+/// each well under 6,000 bytes.
+const PAGE_MS: u64 = 100;
+const ROWS: usize = 140;
+/// Statements sent before the upgrade, and as many after it.
+const STATEMENTS: usize = 4;
+
+/// Sends a statement and checks that all rows of a result are its own.
+fn ask(front: SocketAddr, label: String) -> JoinHandle<Option<String>> {
+    thread::spawn(move || {
+        let statement = format!("SELECT {label} FROM sales_1.orders JOIN sales_1.lines USING id");
+        note(&format!("client {label}: sends {statement}"));
+        let response = http(
+            front,
+            &http_query("max_execution_time=14", &statement),
+            14_500,
+        );
+        let Some(response) = response else {
+            return Some(format!("client {label} got no answer"));
+        };
+        let own = |line: &&str| line.contains(&statement);
+        let foreign = response.body.lines().filter(|line| !own(line)).count();
+        let rows = response.body.lines().count();
+        note(&format!(
+            "client {label}: receives {}, {rows} rows, {foreign} of them not its own",
+            response.status
+        ));
+        (response.status == 200 && foreign > 0)
+            .then(|| format!("client {label} was served {foreign} rows of another client's result"))
+    })
+}
 
 fn main() {
     begin("case-8");
     let engines: Vec<Engine> = ["engine-1", "engine-2"]
         .into_iter()
         .map(|name| {
-            Engine::start(name, |request| Plan::Rows {
-                after_ms: if request.fields.contains("cls=lookup") {
-                    20
+            let engine = Engine::start(name, |request| Plan::Rows {
+                after_ms: if request.statement.contains("earlier") {
+                    EARLIER_RUN_MS
                 } else {
-                    RUN_MS
+                    LATER_RUN_MS
                 },
-                rows: rows_of(&request.statement, 3),
-            })
+                rows: rows_of(&request.statement, ROWS),
+            });
+            engine.set_page_time(PAGE_MS);
+            engine
         })
         .collect();
     let list: Vec<Listed> = (1..)
@@ -42,7 +76,8 @@
         })
         .collect();
     let coordinator = Coordinator::start();
-    let (clients, older_console, newer_console) = (free_address(), free_address(), free_address());
+    let (clients, front) = (free_address(), free_address());
+    let (older_console, newer_console) = (free_address(), free_address());
     let config = write_file(
         "config.json",
         &config(
@@ -53,46 +88,51 @@
             &settings("side_effect", false, 0, 1),
         ),
     );
-    let older = start_manager("older", &config, "state", Some(older_console), &[], "");
+    let deploy = write_file("clickhouse.toml", &clickhouse_file(front, &[], ""));
+    let arguments = deploy.display().to_string();
+    let older = start_manager(
+        "older",
+        &config,
+        "state",
+        Some(older_console),
+        &[],
+        &arguments,
+    );
     older.note_end();
     await_ready(older_console);
-    let mut client = Rpc::connect("client", clients);
-    client.send(1, "lookup", 5_000, "SELECT 1 FROM sales_1.orders");
-    assert!(matches!(client.receive(5_000), Received::Line(_)));
-    let newer = start_manager("newer", &config, "state", Some(newer_console), &[], "");
-    newer.note_end();
-    await_ready(newer_console);
-    client.send(2, "load", WAIT_MS, "INSERT INTO sales_2.orders SELECT 2");
-    client.send(3, "load", WAIT_MS, "INSERT INTO sales_3.orders SELECT 3");
-    let sent_ms = at_ms();
+    let mut asked: Vec<_> = (0..STATEMENTS)
+        .map(|number| ask(front, format!("earlier_{number}")))
+        .collect();
     pause(300);
-    older.signal("TERM");
-    pause(BETWEEN_MS);
     if trouble() {
-        newer.signal("TERM");
+        let newer = start_manager(
+            "newer",
+            &config,
+            "state",
+            Some(newer_console),
+            &[],
+            &arguments,
+        );
+        newer.note_end();
+        await_ready(newer_console);
+        older.signal("TERM");
+    }
+    pause(300);
+    asked.extend((0..STATEMENTS).map(|number| ask(front, format!("later_{number}"))));
+    let mut broken: Vec<String> = asked
+        .into_iter()
+        .filter_map(|client| client.join().expect("a client ends"))
+        .collect();
+    let mut statements: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for request in engines.iter().flat_map(Engine::received) {
+        let of_id = statements.entry(request.id).or_default();
+        of_id.insert(request.statement);
     }
-    let mut open = vec![2u64, 3];
-    let mut broken = Vec::new();
-    while !open.is_empty() {
-        let left_ms = (sent_ms + WAIT_MS + LOST_AFTER_MS).saturating_sub(at_ms());
-        match client.receive(left_ms) {
-            Received::Line(line) => {
-                open.retain(|number| !line.contains(&format!("\"id\":{number},")));
-            }
-            ended => {
-                for number in &open {
-                    broken.push(format!("request {number} got no final answer: {ended:?}"));
-                }
-                break;
-            }
-        }
+    for (id, of_id) in statements.iter().filter(|(_, of_id)| of_id.len() > 1) {
+        broken.push(format!(
+            "engines received {} requests under the id {id}",
+            of_id.len()
+        ));
     }
-    // What the engines do with the requests afterwards belongs to the record.
-    pause(1_500);
-    note(&format!(
-        "older: {:?}, newer: {:?}",
-        older.ended(),
-        newer.ended()
-    ));
     verdict(&broken);
 }
