Number the statements of each process of an upgrade from a start of its own

Cause: the manager gives these statements their request ids, counted up from the seed of the configuration, which both processes of an upgrade read. Engines keep the pages of a result by the request's id. Evidence: engines received two requests under each of the first four ids.

Change: the first id is a hash of the seed, the process id and the start time. The test kit's record of engines now takes an id that is used for two queries as a violated invariant, in every scenario.

--- a/src/startup/clickhouse.rs
+++ b/src/startup/clickhouse.rs
@@ -1,6 +1,7 @@
 //! Start of the ClickHouse frontend: its engines, the state shared by its connections, and its
 //! listener.
 use super::files::ClickHouseFile;
+use super::request_ids::RequestIds;
 use super::{StartContext, StartError};
 use crate::backend::clickhouse::Credentials;
 use crate::clock;
@@ -15,16 +16,12 @@
 use crate::policy::api::{Endpoint, MachineTypeId, Readiness, ZoneId};
 use crate::tenant_directory::Tenants;
 use async_io::Async;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::rc::Rc;
 
-/// Step of the sequence of request ids. It is coprime with 2^64, so each number occurs once before
-/// any is repeated.
-const REQUEST_ID_STEP: u64 = 0x9E37_79B9_7F4A_7C15;
-
 /// The state that is derived from the deploy file before any actor starts.
 pub(super) struct ClickHouseStart {
     path: PathBuf,
@@ -40,11 +37,12 @@
         file: &ClickHouseFile,
         config: &Config,
         shared: &Rc<Shared>,
+        request_ids: RequestIds,
     ) -> Result<ClickHouseStart, StartError> {
         Ok(ClickHouseStart {
             path: file.path.clone(),
             engines: engines(&file.config, &config.names)?,
-            service: Rc::new(shared_state(&file.config, config, shared)?),
+            service: Rc::new(shared_state(&file.config, config, shared, request_ids)?),
             directory: file.config.directory.clone(),
             tenants: Tenants::new(&config.names, config.settings.tenants.clone()),
         })
@@ -131,6 +129,7 @@
     file: &ClickHouseConfig,
     config: &Config,
     shared: &Rc<Shared>,
+    request_ids: RequestIds,
 ) -> Result<ClickHouseShared, StartError> {
     let classes = &config.settings.classes;
     let deadlines = classes
@@ -147,16 +146,6 @@
         load_classes: RefCell::new(loads),
         supports_databases: Box::new(move || database_support.engines_support_databases.get()),
         is_draining: Box::new(move || drain_state.lifecycle.borrow().announces_close()),
-        new_request_id: Box::new(request_ids(config.seed)),
+        new_request_id: Box::new(move || request_ids.next()),
     })
 }
-
-/// Generates request ids that do not repeat, beginning after `seed`, which differs with each
-/// process.
-fn request_ids(seed: u64) -> impl Fn() -> String {
-    let last = Cell::new(seed);
-    move || {
-        last.set(last.get().wrapping_add(REQUEST_ID_STEP));
-        format!("{:016x}", last.get())
-    }
-}
--- a/src/startup/mod.rs
+++ b/src/startup/mod.rs
@@ -6,6 +6,7 @@
 mod files;
 mod hot_restart;
 mod listen_address;
+mod request_ids;
 mod signals;
 mod sockets;
 
@@ -30,6 +31,7 @@
 use async_io::{Async, block_on};
 use clickhouse::ClickHouseStart;
 use files::ConfigurationFiles;
+use request_ids::{ProcessIdentity, RequestIds};
 use sockets::{FleetSocket, Sockets};
 use std::cell::RefCell;
 use std::net::TcpListener;
@@ -85,11 +87,7 @@
     let sockets = Sockets::open(&files)?;
     let _claims = sockets.claims;
     let signals = signals::subscribe()?;
-    let clickhouse = files
-        .clickhouse
-        .as_ref()
-        .map(|file| ClickHouseStart::prepare(file, config, &shared))
-        .transpose()?;
+    let clickhouse = prepare_clickhouse(&files, &shared, incarnation)?;
     let known_events = parse_known(&config.known_events, &config.names)?;
 
     let dispatcher = new_dispatcher(&shared, config);
@@ -162,6 +160,23 @@
     Ok(Some(net::audit::start(shared, context, bounds)?))
 }
 
+/// Prepares the ClickHouse frontend if the process is started with a deploy file.
+fn prepare_clickhouse(
+    files: &ConfigurationFiles,
+    shared: &Rc<Shared>,
+    incarnation: Micros,
+) -> Result<Option<ClickHouseStart>, StartError> {
+    let Some(file) = &files.clickhouse else {
+        return Ok(None);
+    };
+    let request_ids = RequestIds::new(ProcessIdentity {
+        seed: files.config.seed,
+        process: std::process::id(),
+        incarnation,
+    });
+    ClickHouseStart::prepare(file, &files.config, shared, request_ids).map(Some)
+}
+
 fn new_dispatcher(shared: &Shared, config: &Config) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(
         clock::read(),
--- a/src/testkit/engines/clickhouse.rs
+++ b/src/testkit/engines/clickhouse.rs
@@ -1,6 +1,6 @@
 //! A stand-in engine of the ClickHouse HTTP interface.
 use super::{EngineBehavior, EngineState, Stream, reset, rows, write};
-use crate::http::Body;
+use crate::http::{self, Body};
 use crate::testkit::execution_log::{RunId, RunOutcome};
 use crate::testkit::http_reader::read_http;
 use crate::testkit::pause;
@@ -29,7 +29,11 @@
             write(stream, &response("200 OK", "", "Ok.\n")).await;
             continue;
         }
-        let run = state.log.record_start(&state.name, &body, BTreeMap::new());
+        let query_id = query_id(&head.start_line[1]);
+        let fields = BTreeMap::new();
+        let run = state
+            .log
+            .record_start(&state.name, &query_id, &body, fields);
         let query = Query { state, stream, run };
         if query.run(state.next_behavior()).await == AfterQuery::Close {
             break;
@@ -37,6 +41,14 @@
     }
 }
 
+/// The parameter `query_id` of a request's target, empty if there is none.
+fn query_id(target: &str) -> String {
+    let (_, parameters) = http::parse_target(target).unwrap_or_default();
+    let mut parameters = parameters.into_iter();
+    let found = parameters.find(|(name, _)| name == "query_id");
+    found.map_or(String::new(), |(_, value)| value)
+}
+
 /// A running query.
 struct Query<'a> {
     state: &'a EngineState,
--- a/src/testkit/engines/platform.rs
+++ b/src/testkit/engines/platform.rs
@@ -123,7 +123,7 @@
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
         let log = &self.state.log;
-        let run = log.record_start(&self.state.name, statement, fields);
+        let run = log.record_start(&self.state.name, id, statement, fields);
         self.queries.borrow_mut().runs.insert(id.to_owned(), run);
         let has_free_session = self.state.running.get() < self.state.options.max_sessions;
         let behavior = if has_free_session {
--- a/src/testkit/execution_log.rs
+++ b/src/testkit/execution_log.rs
@@ -41,6 +41,8 @@
 pub struct Run {
     /// The query's name, from the comment at the end of its statement.
     pub query: String,
+    /// The identifier under which the daemon sent it.
+    pub request_id: String,
     /// The engine.
     pub engine: String,
     /// Whether the query changes data, so that it may not run twice.
@@ -120,6 +122,14 @@
         /// The number of attempts that the settings allow.
         max_attempts: usize,
     },
+    /// Two queries were sent under one identifier, by which engines tell queries apart.
+    #[error("{query}: sent under the identifier of {other}")]
+    SharedRequestId {
+        /// The query.
+        query: String,
+        /// The query that had the identifier before.
+        other: String,
+    },
     /// A query was sent to an engine that was draining or removed.
     #[error("{query}: sent to {engine} after its drain")]
     SentAfterDrain {
@@ -193,10 +203,11 @@
         self.limits.set(limits);
     }
 
-    /// Records that an engine received a query.
+    /// Records that an engine received a query under this identifier.
     pub fn record_start(
         &self,
         engine: &str,
+        request_id: &str,
         statement: &[u8],
         fields: BTreeMap<String, String>,
     ) -> RunId {
@@ -206,6 +217,7 @@
         let deduplicated = key.is_some_and(|key| self.store_key(key, started_at));
         let run = Run {
             query: query_name(&statement).to_owned(),
+            request_id: request_id.to_owned(),
             engine: engine.to_owned(),
             is_load: is_load(&statement),
             fields,
@@ -333,6 +345,7 @@
             let earlier: Vec<&Run> = earlier.collect();
             violations.extend(self.attempt_violations(run, &earlier));
             violations.extend(self.drain_violation(run));
+            violations.extend(shared_id_violation(run, &runs[..index]));
         }
         violations
     }
@@ -379,6 +392,16 @@
     }
 }
 
+fn shared_id_violation(run: &Run, earlier: &[Run]) -> Option<Violation> {
+    let other = earlier
+        .iter()
+        .find(|earlier| earlier.request_id == run.request_id && earlier.query != run.query)?;
+    Some(Violation::SharedRequestId {
+        query: run.query.clone(),
+        other: other.query.clone(),
+    })
+}
+
 /// The name of a query, from the last comment in its statement.
 fn query_name(statement: &str) -> &str {
     let comment = statement.rsplit("/* ").next();
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -50,6 +50,31 @@
     );
 }
 
+/// Guards clients against results of other queries: in a past fault both processes of a hot restart
+/// sent statements of the ClickHouse interface under the same identifiers. Engines of either
+/// protocol get none twice.
+#[test]
+fn both_processes_of_a_hot_restart_send_statements_under_identifiers_of_their_own() {
+    for protocol in ["platform", "clickhouse"] {
+        let mut steps = format!(
+            "user anna secret billing-desk\nengine one {protocol}\nengine two {protocol}\n\
+            on one rows 2500 9\non two rows 2500 9\nconsole\nstart\n"
+        );
+        let ask = |name: &str| format!("ask {name} http anna secret 9 SELECT 1\n");
+        let expect = |name: &str| format!("expect {name} served 9\n");
+        let earlier = ["a", "b"];
+        let later = ["c", "d", "e", "f", "g", "h"];
+        steps += &earlier.map(ask).concat();
+        steps += "seen a\nseen b\nfollow\nretire\nwait 300\n";
+        steps += "on any rows 1 9\non any rows 1 9\non any rows 1 9\n";
+        steps += "on any rows 1 9\non any rows 1 9\non any rows 1 9\n";
+        steps += &later.map(ask).concat();
+        steps += &later.map(expect).concat();
+        steps += &earlier.map(expect).concat();
+        run_scenario(&format!("{steps}retired\nterm\nended\ncounter open 0"));
+    }
+}
+
 /// Asks over a new connection and over one that was opened before the hot restart, and checks that
 /// the process says that it is ready.
 const SERVES: &str = "call GET /ready 200\n\
