Wait in a shutdown for requests that are open at the predecessor of an upgrade

Cause: the shutdown waited for the requests of its own dispatcher only; those on transferred connections are open in the predecessor's. Evidence: the log of the exit names one open client connection, no unread input and no unwritten responses, 1.2 s after SIGTERM.

Change: Shared::requests_at_predecessor counts them with a guard each, and the shutdown waits for it; at the forced end they fail. The exit's log line names them. The test kit's daemon may have a chain of predecessors.

a_successor_that_stops_waits_for_requests_at_its_predecessor and requests_at_a_predecessor_fail_when_the_time_of_the_successor_ends failed before: "unexpected result: Interrupted".

--- a/src/net/dispatcher/shutdown.rs
+++ b/src/net/dispatcher/shutdown.rs
@@ -71,10 +71,11 @@
     /// Logs what remains once the time to close the connections is over.
     fn log_unfinished_close(&self) {
         log!(
-            "shutdown: closing the connections timed out, exiting with {} client connections open, {} bytes of their input unread, {} with unwritten responses",
+            "shutdown: closing the connections timed out, exiting with {} client connections open, {} bytes of their input unread, {} with unwritten responses, {} requests open at the predecessor",
             self.shared.client_sockets.get(),
             self.shared.unread_bytes.get(),
-            self.shared.connections_with_unwritten_output.get()
+            self.shared.connections_with_unwritten_output.get(),
+            self.shared.requests_at_predecessor.get()
         );
     }
 
@@ -88,11 +89,12 @@
         }
     }
 
-    /// Whether no request waits for its response, and no response waits in a client's mailbox or
-    /// output buffer: the process must not exit before a response that was decided has been
-    /// written.
+    /// Whether no request waits for its response, here or at the predecessor of a hot restart, and no
+    /// response waits in a client's mailbox or output buffer: the process must not exit before a
+    /// response that was decided has been written.
     fn all_responses_delivered(&self) -> bool {
         self.dispatcher.counters.open() == 0
+            && self.shared.requests_at_predecessor.get() == 0
             && self.mailbox.is_empty()
             && self.shared.connections_with_unwritten_output.get() == 0
             && self.clients.values().all(Sender::is_empty)
--- a/src/net/hot_restart/successor_session.rs
+++ b/src/net/hot_restart/successor_session.rs
@@ -8,13 +8,13 @@
 use crate::hot_restart::message::{HotRestartMessage, MessageReader, TransferredConnection};
 use crate::lifecycle::PredecessorState;
 use crate::log;
-use crate::net::Shared;
 use crate::net::client::AdoptedConnection;
+use crate::net::{CountGuard, Shared};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
@@ -31,8 +31,9 @@
 /// An adopted connection that may have requests open at the predecessor.
 struct AdoptedClient {
     responses: Sender<(u64, Response)>,
-    /// The tags of the requests without a response from the predecessor.
-    open_requests: BTreeSet<u64>,
+    /// The requests without a response from the predecessor, by their tags. The guards count them,
+    /// so that this process does not exit before they have one.
+    open_requests: BTreeMap<u64, CountGuard>,
 }
 
 /// Runs until the connection to the predecessor is closed. Calls `start_serving` once the lifecycle
@@ -101,6 +102,11 @@
                 WakeReason::Poll => {
                     self.report_ready_if_able().await;
                     self.announce_stop().await;
+                    // This process closes its connections while requests are open at the
+                    // predecessor only if its time has ended.
+                    if self.shared.lifecycle.borrow().is_closing() {
+                        self.fail_open_requests();
+                    }
                 }
                 WakeReason::Outgoing(message) => self.send(message).await,
                 WakeReason::Received(Ok(length)) if length > 0 => {
@@ -132,7 +138,8 @@
         let peer = &self.peer;
         let descriptors = &mut self.descriptors;
         let outgoing = &self.outgoing;
-        let needs_poll = self.start_serving.is_some() || !self.stop_announced;
+        let has_open_requests = self.shared.requests_at_predecessor.get() > 0;
+        let needs_poll = self.start_serving.is_some() || !self.stop_announced || has_open_requests;
         let received = async { WakeReason::Received(receive(peer, buffer, descriptors).await) };
         let outgoing = async {
             match outgoing.recv().await {
@@ -172,8 +179,15 @@
 
     /// Ignores a failure to send: the connection is closed then, and the next read reports that.
     async fn send(&mut self, message: HotRestartMessage) {
-        if let HotRestartMessage::ClientDisconnected { conn } = message {
-            self.clients.remove(&conn);
+        match message {
+            HotRestartMessage::ClientDisconnected { conn } => {
+                self.clients.remove(&conn);
+            }
+            HotRestartMessage::Cancel { conn, tag } => {
+                let client = self.clients.get_mut(&conn);
+                client.and_then(|client| client.open_requests.remove(&tag));
+            }
+            _ => {}
         }
         let _ = self.peer.write_all(&message.encode()).await;
     }
@@ -205,7 +219,12 @@
         let Some(socket) = self.descriptors.pop_front() else {
             return;
         };
-        let open_requests = state.open_requests.iter().copied().collect();
+        let open_count = &self.shared.requests_at_predecessor;
+        let open_requests = state
+            .open_requests
+            .iter()
+            .map(|tag| (*tag, CountGuard::new(open_count)))
+            .collect();
         let adopted = AdoptedConnection {
             number: conn,
             state,
@@ -219,10 +238,10 @@
     }
 
     /// Fails the requests that are still open at the predecessor, as no response to them can be
-    /// received after its end. Their clients receive the failure at once.
+    /// received after the end of either process. Their clients receive the failure at once.
     fn fail_open_requests(&mut self) {
-        for client in std::mem::take(&mut self.clients).into_values() {
-            for tag in client.open_requests {
+        for client in self.clients.values_mut() {
+            for (tag, _guard) in std::mem::take(&mut client.open_requests) {
                 let failure = Response::Failed(Failure::NotSent);
                 let _ = client.responses.try_send((tag, failure));
             }
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -73,6 +73,9 @@
     pub listeners_closing: Cell<bool>,
     /// Client connections with responses that are not completely written.
     pub connections_with_unwritten_output: Rc<Cell<usize>>,
+    /// Requests that are open at the predecessor of a hot restart, on connections that it transferred
+    /// to this process. Their responses arrive through this process.
+    pub requests_at_predecessor: Rc<Cell<usize>>,
     /// Bytes of responses that clients have not read, over all connections.
     pub unwritten_bytes: Cell<usize>,
     /// The value of `unwritten_bytes` above which no more requests are read.
@@ -141,6 +144,7 @@
             listeners: RefCell::default(),
             listeners_closing: Cell::new(false),
             connections_with_unwritten_output: Rc::default(),
+            requests_at_predecessor: Rc::default(),
             unwritten_bytes: Cell::new(0),
             max_unwritten_bytes: Cell::new(0),
             unread_bytes: Cell::new(0),
--- a/src/testkit/daemon/mod.rs
+++ b/src/testkit/daemon/mod.rs
@@ -44,7 +44,7 @@
     pub settings: Value,
 }
 
-/// One of the two processes of a daemon during a hot restart.
+/// One of the two newest processes of a daemon during a hot restart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DaemonProcess {
     /// The process that is replaced.
@@ -60,8 +60,8 @@
     pub listen: SocketAddr,
     /// The address of its admin endpoint, if it has one.
     pub admin_addr: Option<SocketAddr>,
-    /// The process that the present one replaces during a hot restart.
-    predecessor: Option<Predecessor>,
+    /// The processes that the present one replaces during a hot restart, the oldest first.
+    predecessors: Vec<Predecessor>,
     starts: u32,
     options: DaemonOptions,
     folder: Folder,
@@ -101,7 +101,7 @@
             child,
             listen,
             admin_addr,
-            predecessor: None,
+            predecessors: Vec::new(),
             starts: 1,
             options,
             folder,
@@ -146,10 +146,11 @@
         let log_path = self.folder.path(&log_file(self.starts));
         let child = spawn(command, program, &log_path)?;
         self.starts += 1;
-        self.predecessor = Some(Predecessor {
+        let predecessor = Predecessor {
             child: std::mem::replace(&mut self.child, child),
             admin_addr: std::mem::replace(&mut self.admin_addr, admin_addr),
-        });
+        };
+        self.predecessors.push(predecessor);
         Ok(())
     }
 
@@ -174,23 +175,23 @@
         Err(DaemonError::SuccessorNotReady)
     }
 
-    /// Sends SIGTERM to the predecessor.
+    /// Sends SIGTERM to the newest predecessor.
     pub fn terminate_predecessor(&self) {
-        if let Some(predecessor) = &self.predecessor {
+        if let Some(predecessor) = self.predecessors.last() {
             signal(&predecessor.child, Signal::TERM);
         }
     }
 
-    /// Waits until the predecessor exits; returns `None` if it does not exit in time.
+    /// Waits until the newest predecessor exits; returns `None` if it does not exit in time.
     pub async fn wait_for_predecessor_exit(&mut self) -> Option<ExitStatus> {
         let mut status = None;
         wait_until(|| {
-            let predecessor = self.predecessor.as_mut();
+            let predecessor = self.predecessors.last_mut();
             status = predecessor.and_then(|predecessor| exit_status(&mut predecessor.child));
             status.is_some()
         })
         .await;
-        self.predecessor = None;
+        self.predecessors.pop();
         status
     }
 
@@ -204,7 +205,7 @@
 
     /// Makes the predecessor the present process again, and returns the successor.
     fn restore_predecessor(&mut self) -> Option<Child> {
-        let predecessor = self.predecessor.take()?;
+        let predecessor = self.predecessors.pop()?;
         self.admin_addr = predecessor.admin_addr;
         Some(std::mem::replace(&mut self.child, predecessor.child))
     }
@@ -213,7 +214,7 @@
     /// becomes the present process again.
     pub fn kill(&mut self, process: DaemonProcess) {
         let killed = match process {
-            DaemonProcess::Predecessor => self.predecessor.take().map(|older| older.child),
+            DaemonProcess::Predecessor => self.predecessors.pop().map(|older| older.child),
             DaemonProcess::Successor => self.restore_predecessor(),
         };
         let Some(mut killed) = killed else {
@@ -342,7 +343,9 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        self.kill(DaemonProcess::Predecessor);
+        while !self.predecessors.is_empty() {
+            self.kill(DaemonProcess::Predecessor);
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/src/testkit/scenario/mod.rs
+++ b/src/testkit/scenario/mod.rs
@@ -66,7 +66,7 @@
 //! | `retune NAME:SEMANTICS ... attempts:COUNT` | makes the daemon reload a configuration with these classes and this maximum number of attempts |
 //! | `spoil` | makes the daemon reload an invalid configuration |
 //! | `launch`, `follow` | starts a successor of the daemon, or starts one and waits until it is ready |
-//! | `retire`, `retired` | sends SIGTERM to the predecessor, or waits until it has exited with status 0 |
+//! | `retire`, `retired` | sends SIGTERM to the newest predecessor, or waits until it has exited with status 0 |
 //! | `reverted` | after `term` to the successor: waits until it has exited with status 0, or by the signal if that came before its handler; the predecessor is the daemon again |
 //! | `kill older\|newer` | kills the predecessor or the successor of a hot restart |
 //! | `call METHOD PATH STATUS` | calls the admin endpoint until the response has this status |
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -75,6 +75,54 @@
     }
 }
 
+/// Starts two loads that run for `RUN` ms on a persistent connection, and has the successor adopt the
+/// connection while they run.
+const LOADS_AT_PREDECESSOR: &str = "engine one platform\nengine two platform\nconsole\nstart\nkeep client\n\
+    ask first on client lookup billing-desk 9000 SELECT 1\nexpect first served\n\
+    on one rows RUN 1\non two rows RUN 1\n\
+    ask load on client load billing-desk 9000 INSERT INTO ops_1.calls SELECT 1\n\
+    ask other on client load billing-desk 9000 INSERT INTO ops_2.calls SELECT 1\n\
+    seen load\nseen other\nfollow\n";
+
+/// Guards requests that are open in the older process of a hot restart against a stop of the newer
+/// one: in a past fault it exited and closed their connections without a response. The stop comes
+/// while connections are being transferred, and after that.
+#[test]
+fn a_successor_that_stops_waits_for_requests_at_its_predecessor() {
+    for pause in ["", "wait 20\n", "wait 700\n"] {
+        let steps = LOADS_AT_PREDECESSOR.replace("RUN", "2500");
+        run_scenario(&format!(
+            "{steps}retire\n{pause}term\nexpect load served\nexpect other served\nruns load 1\n\
+            runs other 1\nretired\nended\ncounter open 0"
+        ));
+    }
+}
+
+/// Guards the same requests in a chain of three processes, whose two older ones are asked to stop.
+#[test]
+fn three_processes_in_a_row_answer_the_requests_of_the_oldest() {
+    for pause in ["", "wait 300\n"] {
+        let steps = LOADS_AT_PREDECESSOR.replace("RUN", "3000");
+        run_scenario(&format!(
+            "{steps}retire\n{pause}follow\nretire\n{pause}\
+            ask new rpc lookup billing-desk 9000 SELECT 1\nexpect new served\n\
+            expect load served\nexpect other served\nruns load 1\nruns other 1\n\
+            retired\nretired\nterm\nended\ncounter open 0"
+        ));
+    }
+}
+
+/// Guards clients against waiting for requests that outlast the time of the newer process: they get
+/// a failure before it exits.
+#[test]
+fn requests_at_a_predecessor_fail_when_the_time_of_the_successor_ends() {
+    let steps = LOADS_AT_PREDECESSOR.replace("RUN", "8000");
+    run_scenario(&format!(
+        "{steps}retire\nwait 100\nterm\nexpect load failed\nexpect other failed\nruns load 1\n\
+        runs other 1\nended\nover load\nover other\nretired\ncounter open 0"
+    ));
+}
+
 /// Asks over a new connection and over one that was opened before the hot restart, and checks that
 /// the process says that it is ready.
 const SERVES: &str = "call GET /ready 200\n\
