Free grown buffers of idle connections instead of shrinking them

Seen by operators of other deployments: with hundreds of clients connected a process passed its memory limit.

Cause: an empty buffer that had grown was shrunk to 4 KB, which leaves a small block in the place of each large one, so that the allocator can't return the heap.

Change: free_grown_buffer, for input and output of clients and the input of engine connections.

The test kit's daemon has a limit on memory, and tests share a deployment.

--- a/src/backend/platform/mod.rs
+++ b/src/backend/platform/mod.rs
@@ -7,6 +7,7 @@
 use crate::config::process::Names;
 use crate::dispatcher::termination::Termination;
 use crate::dispatcher::{AttemptRequest, Cost};
+use crate::idle_buffer::free_grown_buffer;
 use crate::policy::api::{LoadReport, MAX_LOAD_FIELDS, OutcomeKind, RequestId};
 use message::{Fields, Message, Verb};
 use response::{MAX_PAGES, PageStatus, PendingResponse};
@@ -296,7 +297,7 @@
         self.input.drain(..used);
         if self.input.is_empty() {
             self.message_started_at = None;
-            self.input.shrink_to(message::MAX_LINE_BYTES);
+            free_grown_buffer(&mut self.input);
         } else if used > 0 || self.message_started_at.is_none() {
             self.message_started_at = Some(now);
         }
--- a/src/frontend/input_buffer.rs
+++ b/src/frontend/input_buffer.rs
@@ -1,8 +1,6 @@
 //! The input buffer of a client connection.
 use crate::clock::Micros;
-
-/// The buffer capacity that an idle connection keeps, in bytes.
-const IDLE_CAPACITY_BYTES: usize = 4 * 1024;
+use crate::idle_buffer::free_grown_buffer;
 
 /// Received bytes that are not parsed yet, and the time at which the incomplete message among them
 /// started. The connection limits how long a message may stay incomplete.
@@ -75,8 +73,6 @@
     pub(super) fn update_message_start(&mut self, now: Micros, completed: bool, incomplete: bool) {
         let started_before = self.message_started_at.filter(|_| !completed);
         self.message_started_at = incomplete.then(|| started_before.unwrap_or(now));
-        if self.bytes.is_empty() {
-            self.bytes.shrink_to(IDLE_CAPACITY_BYTES);
-        }
+        free_grown_buffer(&mut self.bytes);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod frontend;
 pub mod hot_restart;
 pub mod http;
+mod idle_buffer;
 pub mod lease;
 pub mod lifecycle;
 pub mod logging;
--- a/src/net/client/buffers.rs
+++ b/src/net/client/buffers.rs
@@ -1,9 +1,8 @@
 //! The buffers of a client connection, counted against the process-wide memory limits.
 use crate::frontend::{Frontend, FrontendEvent};
+use crate::idle_buffer::free_grown_buffer;
 use crate::net::ByteQuota;
 
-/// The capacity that the buffers of an idle connection keep, in bytes.
-pub(super) const IDLE_CAPACITY_BYTES: usize = 4 * 1024;
 /// Deferred bytes that the frontend parses at a time.
 pub(super) const DEFERRED_CHUNK_BYTES: usize = 4 * 1024;
 
@@ -36,7 +35,7 @@
         self.written += count;
         if self.written == self.bytes.len() {
             self.bytes.clear();
-            self.bytes.shrink_to(IDLE_CAPACITY_BYTES);
+            free_grown_buffer(&mut self.bytes);
             self.written = 0;
         }
     }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -1,5 +1,5 @@
 //! The actor of one client connection: reads requests, writes responses, and decides when to close.
-use super::buffers::{DEFERRED_CHUNK_BYTES, DeferredInput, IDLE_CAPACITY_BYTES, OutputBuffer};
+use super::buffers::{DEFERRED_CHUNK_BYTES, DeferredInput, OutputBuffer};
 use super::connection_registry::ConnectionStatus;
 use super::message_pacing::MessagePacing;
 use super::wait::{WaitPlan, WakeReason, has_passed};
@@ -8,6 +8,7 @@
 use crate::dispatcher::termination::Termination;
 use crate::frontend::{DisconnectReason, Frontend, FrontendEvent};
 use crate::hot_restart::message::HotRestartMessage;
+use crate::idle_buffer::IDLE_CAPACITY_BYTES;
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::{ByteQuota, CountGuard, Shared};
 use async_channel::{Receiver, Sender};
--- a/src/net/client/wait.rs
+++ b/src/net/client/wait.rs
@@ -1,9 +1,9 @@
 //! What a client connection waits for: its deadlines, and the event that wakes it.
-use super::buffers::IDLE_CAPACITY_BYTES;
 use super::connection::{ClientConnection, read_into_shared_buffer};
 use crate::clock::{MS, Micros, SEC};
 use crate::dispatcher::Response;
 use crate::frontend::Frontend;
+use crate::idle_buffer::IDLE_CAPACITY_BYTES;
 use crate::net::sleep_until;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
--- a/src/testkit/daemon/config.rs
+++ b/src/testkit/daemon/config.rs
@@ -9,6 +9,9 @@
 /// The names of the machine types in the configuration.
 pub const MACHINE_TYPES: [&str; 2] = ["std-8core", "std-12core"];
 
+/// The limit on memory of an ordinary deployment, in MB.
+const DEFAULT_MEMORY_MB: u64 = 192;
+
 /// The settings of scenarios: one gateway, two tenants and the classes in [`CLASSES`].
 pub fn settings() -> Value {
     let class = |name: &str, deadline_seconds: f64, semantics: &str| {
@@ -35,7 +38,27 @@
 
 /// A complete configuration with the default settings.
 pub fn config(listen: SocketAddr, coordinator: SocketAddr, known: &Value, sockets: usize) -> Value {
-    config_with(listen, coordinator, known, sockets, &settings())
+    let limits = DaemonLimits::with_sockets(sockets);
+    config_with(listen, coordinator, known, limits, &settings())
+}
+
+/// The limits in a daemon's configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DaemonLimits {
+    /// The limit on open descriptors.
+    pub sockets: usize,
+    /// The limit on memory, in MB.
+    pub memory_mb: u64,
+}
+
+impl DaemonLimits {
+    /// This limit on open descriptors, and the memory of an ordinary deployment.
+    pub fn with_sockets(sockets: usize) -> DaemonLimits {
+        DaemonLimits {
+            sockets,
+            memory_mb: DEFAULT_MEMORY_MB,
+        }
+    }
 }
 
 /// A complete configuration with these settings.
@@ -43,11 +66,12 @@
     listen: SocketAddr,
     coordinator: SocketAddr,
     known: &Value,
-    sockets: usize,
+    limits: DaemonLimits,
     settings: &Value,
 ) -> Value {
+    let DaemonLimits { sockets, memory_mb } = limits;
     json!({"name": "n0", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "coordinator": coordinator.to_string(), "known": known, "settings": settings})
 }
 
--- a/src/testkit/daemon/mod.rs
+++ b/src/testkit/daemon/mod.rs
@@ -3,7 +3,7 @@
 mod error;
 mod folder;
 
-pub use config::{CLASSES, MACHINE_TYPES, ZONES, config, settings};
+pub use config::{CLASSES, DaemonLimits, MACHINE_TYPES, ZONES, config, settings};
 pub use error::DaemonError;
 pub use folder::Folder;
 
@@ -36,8 +36,8 @@
     pub known: Value,
     /// The content of the deploy file, if the daemon has a ClickHouse frontend.
     pub deploy_file: Option<String>,
-    /// The limit on its open descriptors.
-    pub max_sockets: usize,
+    /// Its limits.
+    pub limits: DaemonLimits,
     /// Whether it has an admin endpoint.
     pub has_admin_endpoint: bool,
     /// Its settings.
@@ -86,7 +86,7 @@
             listen,
             options.coordinator,
             &options.known,
-            options.max_sockets,
+            options.limits,
             &options.settings,
         );
         let config_path = folder.put(CONFIG_FILE, &text.to_string())?;
@@ -231,7 +231,7 @@
     ///
     /// A change has neither form, or the configuration can't be written.
     pub fn reconfigure(&self, changes: &[&str]) -> Result<(), DaemonError> {
-        let mut config = self.config(self.options.coordinator, self.options.max_sockets);
+        let mut config = self.config(self.options.coordinator, self.options.limits);
         let settings = &mut config["settings"];
         let templates = settings["classes"].as_array().cloned();
         let templates = templates.unwrap_or_default();
@@ -255,7 +255,8 @@
     ///
     /// The configuration can't be written.
     pub fn reconfigure_coordinator(&self, coordinator: SocketAddr) -> Result<(), DaemonError> {
-        let config = self.config(coordinator, RECONFIGURED_MAX_SOCKETS);
+        let limits = DaemonLimits::with_sockets(RECONFIGURED_MAX_SOCKETS);
+        let config = self.config(coordinator, limits);
         self.write_config(&config.to_string())
     }
 
@@ -268,11 +269,11 @@
         self.write_config("{")
     }
 
-    fn config(&self, coordinator: SocketAddr, max_sockets: usize) -> Value {
+    fn config(&self, coordinator: SocketAddr, limits: DaemonLimits) -> Value {
         let DaemonOptions {
             known, settings, ..
         } = &self.options;
-        config_with(self.listen, coordinator, known, max_sockets, settings)
+        config_with(self.listen, coordinator, known, limits, settings)
     }
 
     fn write_config(&self, text: &str) -> Result<(), DaemonError> {
--- a/src/testkit/scale/daemons.rs
+++ b/src/testkit/scale/daemons.rs
@@ -5,7 +5,7 @@
 use crate::net::discovery::ListedEndpoint;
 use crate::policy::api::{MachineTypeId, ZoneId};
 use crate::testkit::coordinator::{Coordinator, known, ready_endpoint};
-use crate::testkit::daemon::{self, Daemon, DaemonOptions, MACHINE_TYPES, ZONES};
+use crate::testkit::daemon::{self, Daemon, DaemonLimits, DaemonOptions, MACHINE_TYPES, ZONES};
 use crate::testkit::engines::{Engine, EngineOptions, EngineProtocol};
 use crate::testkit::{ExecutionLog, Executor, pause};
 use async_executor::LocalExecutor;
@@ -171,7 +171,7 @@
         coordinator: coordinator.addr,
         known,
         deploy_file: None,
-        max_sockets: daemon_descriptors as usize,
+        limits: DaemonLimits::with_sockets(daemon_descriptors as usize),
         has_admin_endpoint: true,
         settings: settings(options.managers),
     };
--- a/src/testkit/scenario/deployment.rs
+++ b/src/testkit/scenario/deployment.rs
@@ -3,7 +3,9 @@
 use super::{ScenarioEngine, ScenarioRun, parse_count, text_after};
 use crate::policy::api::Readiness;
 use crate::testkit::coordinator;
-use crate::testkit::daemon::{Daemon, DaemonError, DaemonOptions, MACHINE_TYPES, ZONES};
+use crate::testkit::daemon::{
+    Daemon, DaemonError, DaemonLimits, DaemonOptions, MACHINE_TYPES, ZONES,
+};
 use crate::testkit::directory::Directory;
 use crate::testkit::engines::{Engine, EngineOptions, EngineProtocol};
 use crate::testkit::execution_log::ExecutionLimits;
@@ -213,7 +215,7 @@
             coordinator: self.coordinator.addr,
             known: known.clone(),
             deploy_file,
-            max_sockets: self.max_sockets,
+            limits: DaemonLimits::with_sockets(self.max_sockets),
             has_admin_endpoint: self.has_admin_endpoint,
             settings: self.settings.clone(),
         };
--- /dev/null
+++ b/tests/client_memory.rs
@@ -0,0 +1,209 @@
+//! Guards the memory limit against hundreds of clients that are connected at once and send large
+//! requests.
+#[path = "common/deployment.rs"]
+mod deployment;
+
+use deployment::{Deployment, DeploymentPlan};
+use rustix::process::{Resource, getrlimit, setrlimit};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use yokelift::testkit::clients::{http_request, rpc_line};
+use yokelift::testkit::daemon::DaemonLimits;
+
+/// Half of them are for client connections.
+const MAX_SOCKETS: usize = 2_048;
+const MEMORY_MB: u64 = 48;
+/// How long the clients send. It is longer than the time limit of an incomplete message.
+const DURATION: Duration = Duration::from_millis(3_500);
+/// The time between two writes of a client.
+const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// The length of a large statement, in bytes.
+const STATEMENT_BYTES: usize = 180_000;
+/// The length of the parameters of a JSON-RPC request, in bytes, just below the limit.
+const PARAMETER_BYTES: usize = 240_000;
+
+/// How the inputs are played.
+struct Plan {
+    /// How many clients are connected to a daemon at once.
+    clients: usize,
+    /// How many daemons are played at the same time.
+    parallel: usize,
+}
+
+/// What the clients of one play send on a connection, and at which frontend. After the bytes they
+/// send nothing more.
+struct Input {
+    name: &'static str,
+    is_http: bool,
+    bytes: Vec<u8>,
+    /// The length of each write.
+    write_bytes: usize,
+}
+
+impl Input {
+    /// JSON-RPC, as much at once as the socket takes.
+    fn rpc(name: &'static str, bytes: Vec<u8>) -> Input {
+        Input {
+            name,
+            is_http: false,
+            write_bytes: bytes.len(),
+            bytes,
+        }
+    }
+
+    /// HTTP, as much at once as the socket takes.
+    fn http(name: &'static str, bytes: impl Into<Vec<u8>>) -> Input {
+        Input {
+            is_http: true,
+            ..Input::rpc(name, bytes.into())
+        }
+    }
+}
+
+fn large_rpc_request() -> Vec<u8> {
+    let statement = "x".repeat(STATEMENT_BYTES);
+    let id = "00000000000000f1";
+    rpc_line(2, "lookup", id, "billing-desk", 5_000, &statement)
+}
+
+/// A JSON-RPC request with this parameter many times.
+fn rpc_with_many(parameter: &str) -> Vec<u8> {
+    let parameters = parameter.repeat(PARAMETER_BYTES / parameter.len());
+    format!(
+        "{{\"jsonrpc\":\"2.0\",\"id\":2,\"method\":\"lookup\",\"params\":{{{parameters}\"z\":0}}}}\n"
+    )
+    .into_bytes()
+}
+
+/// There are no engines, so that each valid request waits.
+fn complete_requests() -> Vec<Input> {
+    let statement = "x".repeat(STATEMENT_BYTES);
+    vec![
+        Input::rpc("a JSON-RPC query", large_rpc_request()),
+        Input::rpc("many members", rpc_with_many("\"a\":0,")),
+        Input::rpc("many arrays", rpc_with_many("\"a\":[[],[],[],[]],")),
+        Input::http(
+            "an HTTP query",
+            http_request("anna", "secret", "", &statement),
+        ),
+    ]
+}
+
+/// A client that connects again when its connection is closed.
+struct Client {
+    addr: SocketAddr,
+    stream: Option<TcpStream>,
+    written: usize,
+}
+
+impl Client {
+    fn new(addr: SocketAddr) -> Client {
+        Client {
+            addr,
+            stream: None,
+            written: 0,
+        }
+    }
+
+    fn connect(addr: SocketAddr) -> Option<TcpStream> {
+        let stream = TcpStream::connect(addr).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(stream)
+    }
+
+    /// Writes the next piece, and reads what the daemon has sent.
+    fn step(&mut self, input: &Input) {
+        if self.stream.is_none() {
+            self.stream = Client::connect(self.addr);
+            self.written = 0;
+        }
+        let Some(mut stream) = self.stream.as_ref() else {
+            return;
+        };
+        let end = input.bytes.len().min(self.written + input.write_bytes);
+        let written = stream.write(&input.bytes[self.written..end]);
+        let read = stream.read(&mut [0; 4_096]);
+        let has_failed = |result: &std::io::Result<usize>| matches!(result, Err(error) if error.kind() != ErrorKind::WouldBlock);
+        let is_closed = matches!(read, Ok(0)) || has_failed(&read) || has_failed(&written);
+        self.written += written.unwrap_or(0);
+        if is_closed {
+            self.stream = None;
+        }
+    }
+}
+
+/// The highest resident memory of a process so far, in MB.
+fn highest_memory_mb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+    let kilobytes: Option<u64> = kilobytes.and_then(|value| value.parse().ok());
+    kilobytes.expect("a value in kB").div_ceil(1_024)
+}
+
+/// Has the clients send to a daemon of their own, and returns the daemon's highest memory in MB.
+fn play(clients: usize, input: &Input) -> u64 {
+    let deployment = Deployment::start(DeploymentPlan {
+        limits: DaemonLimits {
+            sockets: MAX_SOCKETS,
+            memory_mb: MEMORY_MB,
+        },
+        ..DeploymentPlan::default()
+    });
+    let addr = if input.is_http {
+        deployment.http_listen
+    } else {
+        deployment.daemon.listen
+    };
+    let mut clients: Vec<Client> = (0..clients).map(|_| Client::new(addr)).collect();
+    let ends_at = Instant::now() + DURATION;
+    while Instant::now() < ends_at {
+        let round_ends_at = Instant::now() + WRITE_INTERVAL;
+        for client in &mut clients {
+            client.step(input);
+        }
+        std::thread::sleep(round_ends_at.saturating_duration_since(Instant::now()));
+    }
+    highest_memory_mb(deployment.daemon.pid())
+}
+
+/// Plays the inputs, some of them at the same time, and asserts that no daemon exceeds its limit.
+fn assert_within_limit(plan: &Plan, inputs: &[Input]) {
+    raise_descriptor_limit();
+    let mut exceeded = Vec::new();
+    for group in inputs.chunks(plan.parallel) {
+        let measured: Vec<u64> = std::thread::scope(|scope| {
+            let plays: Vec<_> = group
+                .iter()
+                .map(|input| scope.spawn(|| play(plan.clients, input)))
+                .collect();
+            let results = plays.into_iter().map(|play| play.join());
+            results.map(|result| result.expect("a play ends")).collect()
+        });
+        for (input, memory_mb) in group.iter().zip(measured) {
+            println!("{}: at most {memory_mb} MB", input.name);
+            if memory_mb > MEMORY_MB {
+                exceeded.push((input.name, memory_mb));
+            }
+        }
+    }
+    assert!(exceeded.is_empty(), "above {MEMORY_MB} MB: {exceeded:?}");
+}
+
+/// The clients of a test take more descriptors than many systems allow by default.
+fn raise_descriptor_limit() {
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    setrlimit(Resource::Nofile, limit).expect("the limit is raised");
+}
+
+/// Guards against memory that stays with the process after the buffers of large requests are empty.
+#[test]
+fn buffers_of_complete_requests_stay_within_the_memory_limit() {
+    let plan = Plan {
+        clients: 480,
+        parallel: 1,
+    };
+    assert_within_limit(&plan, &complete_requests());
+}
--- a/tests/late_connections.rs
+++ b/tests/late_connections.rs
@@ -12,7 +12,7 @@
 use yokelift::testkit::clients::{CLOSE_CROSSING, http_request, rpc_line};
 use yokelift::testkit::coordinator::{Coordinator, known};
 use yokelift::testkit::daemon::{
-    Daemon, DaemonOptions, DaemonProcess, MACHINE_TYPES, ZONES, settings,
+    Daemon, DaemonLimits, DaemonOptions, DaemonProcess, MACHINE_TYPES, ZONES, settings,
 };
 use yokelift::testkit::ports::reserve_addr;
 use yokelift::testkit::stand_in_thread::StandInThread;
@@ -72,7 +72,7 @@
                 "listen = \"{http_listen}\"\nusual_class = \"lookup\"\n\
                  [[user]]\nname = \"anna\"\nkey = \"secret\"\ntenant = \"billing-desk\"\n"
             )),
-            max_sockets: 256,
+            limits: DaemonLimits::with_sockets(256),
             has_admin_endpoint,
             settings: settings(),
         };
--- a/tests/response_time.rs
+++ b/tests/response_time.rs
@@ -1,20 +1,16 @@
 //! Guards against late responses: whatever else a connection carries, each request on it gets its
 //! response by its own deadline. See docs/incidents/late-responses.md.
+#[path = "common/deployment.rs"]
+mod deployment;
+
+use deployment::{Deployment, DeploymentPlan};
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
 use std::time::{Duration, Instant};
 use yokelift::testkit::clients::{
     ClientOutcome, PING, STATUS, SustainedClass, SustainedLoad, SustainedLoadPlan,
     SustainedLoadReport, SustainedProtocol, http_request, rpc_line,
 };
-use yokelift::testkit::coordinator::{Coordinator, known, ready_endpoint};
-use yokelift::testkit::daemon::{Daemon, DaemonOptions, MACHINE_TYPES, ZONES, settings};
-use yokelift::testkit::engines::{Engine, EngineOptions, EngineProtocol};
-use yokelift::testkit::ports::reserve_addr;
-use yokelift::testkit::stand_in_thread::StandInThread;
-use yokelift::testkit::{ExecutionLog, Executor};
-
 /// A request whose response arrives later than this after the client's deadline is lost by the
 /// platform's rules.
 const LOST_AFTER: Duration = Duration::from_millis(500);
@@ -41,58 +37,8 @@
     }
 }
 
-/// A daemon between a coordinator and this many engines.
-struct Deployment {
-    _stand_ins: StandInThread<(Coordinator, Vec<Engine>)>,
-    daemon: Daemon,
-    http_listen: SocketAddr,
-}
-
-impl Deployment {
-    fn start(engines: u32) -> Deployment {
-        let stand_ins = StandInThread::start(move |executor| {
-            let log = ExecutionLog::default();
-            let options = EngineOptions::new(EngineProtocol::Platform);
-            let engines = (1..=engines)
-                .map(|id| Engine::start(executor, &format!("e{id}"), options, log.clone()))
-                .collect();
-            (Coordinator::start(executor), engines)
-        });
-        let (coordinator, addresses): (SocketAddr, Vec<SocketAddr>) = stand_ins.call(
-            |(coordinator, engines): &mut (Coordinator, Vec<Engine>), _| {
-                let addresses = engines.iter().map(|engine| engine.addr);
-                (coordinator.addr, addresses.collect())
-            },
-        );
-        let listed: Vec<_> = (1..)
-            .zip(addresses)
-            .map(|(id, addr)| ready_endpoint(id, addr))
-            .collect();
-        let http_listen = reserve_addr();
-        let options = DaemonOptions {
-            coordinator,
-            known: known(&listed, &ZONES, &MACHINE_TYPES),
-            deploy_file: Some(format!(
-                "listen = \"{http_listen}\"\nusual_class = \"lookup\"\n\
-                 [[user]]\nname = \"anna\"\nkey = \"secret\"\ntenant = \"billing-desk\"\n"
-            )),
-            max_sockets: 256,
-            has_admin_endpoint: false,
-            settings: settings(),
-        };
-        let program = Path::new(env!("CARGO_BIN_EXE_yokelift"));
-        let executor = Executor::default();
-        let started = async_io::block_on(executor.run(Daemon::start(program, options)));
-        Deployment {
-            _stand_ins: stand_ins,
-            daemon: started.expect("the daemon starts"),
-            http_listen,
-        }
-    }
-}
-
 fn run(plan: SustainedLoadPlan) -> SustainedLoadReport {
-    let deployment = Deployment::start(0);
+    let deployment = Deployment::start(DeploymentPlan::default());
     let load = SustainedLoad::start(deployment.daemon.listen, plan);
     std::thread::sleep(LOAD_DURATION);
     load.finish()
@@ -262,7 +208,10 @@
         Flood::UnknownUser,
         Flood::Nothing,
     ] {
-        let deployment = Deployment::start(ENGINES);
+        let deployment = Deployment::start(DeploymentPlan {
+            engines: ENGINES,
+            ..DeploymentPlan::default()
+        });
         let daemon = &deployment.daemon;
         let background_load = SustainedLoadPlan {
             connections: 12,
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -10,7 +10,9 @@
     SustainedClass, SustainedLoad, SustainedLoadPlan, SustainedLoadReport, SustainedProtocol,
 };
 use yokelift::testkit::coordinator::{Coordinator, known, ready_endpoint};
-use yokelift::testkit::daemon::{Daemon, DaemonOptions, MACHINE_TYPES, ZONES, settings};
+use yokelift::testkit::daemon::{
+    Daemon, DaemonLimits, DaemonOptions, MACHINE_TYPES, ZONES, settings,
+};
 use yokelift::testkit::planned_restart::{KILL_SLACK, MAX_DEADLINE_WAIT};
 
 /// How long the clients send before the first signal.
@@ -68,7 +70,7 @@
         coordinator: coordinator.addr,
         known: known(&listed, &ZONES, &MACHINE_TYPES),
         deploy_file: None,
-        max_sockets: 256,
+        limits: DaemonLimits::with_sockets(256),
         has_admin_endpoint: true,
         settings: settings(),
     };
