Count the heads of incomplete requests against the memory limit for input

Seen by operators of other deployments: clients that stop half way through a request, or send heads of many fields, took a process past its memory limit.

Cause: only bytes that wait to be parsed counted; a parsed head waits for its body uncounted.

Change: Frontend::held_memory_bytes counts them too. Also counted: the incomplete message of a transferred connection, from its start. A connection that lingers has no buffers.

--- a/src/frontend/clickhouse/mod.rs
+++ b/src/frontend/clickhouse/mod.rs
@@ -380,6 +380,14 @@
         self.input.len() + body
     }
 
+    fn held_memory_bytes(&self) -> usize {
+        let head = match &self.state {
+            State::Body(partial) => partial.head.memory_bytes(),
+            State::Head | State::Open(_) | State::Closing => 0,
+        };
+        self.buffered_bytes() + head
+    }
+
     fn stop_reading(&mut self, reason: DisconnectReason, output: &mut Vec<u8>) {
         match &mut self.state {
             // Requests after an open query are discarded; the connection closes after the query's
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -102,6 +102,11 @@
     /// queued after an open request.
     fn buffered_bytes(&self) -> usize;
 
+    /// The memory that the frontend holds for incomplete and queued messages, in bytes.
+    fn held_memory_bytes(&self) -> usize {
+        self.buffered_bytes()
+    }
+
     /// Discards the incomplete message, reports an error to the client, and stops parsing. Open
     /// requests still get their responses; the connection has to be closed after the last one.
     fn stop_reading(&mut self, reason: DisconnectReason, output: &mut Vec<u8>);
--- a/src/http.rs
+++ b/src/http.rs
@@ -12,6 +12,9 @@
 /// size and optional extensions.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// What an allocator adds to a short text, at most, in bytes.
+const ALLOCATION_BYTES: usize = 24;
+
 /// The bytes that end a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -55,6 +58,16 @@
             .map(|(_, value)| value.as_str())
     }
 
+    /// The memory that the head occupies on the heap, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let start_line: usize = self.start_line.iter().map(String::capacity).sum();
+        let texts = self.fields.iter();
+        let texts: usize = texts
+            .map(|(name, value)| name.capacity() + value.capacity() + 2 * ALLOCATION_BYTES)
+            .sum();
+        start_line + texts + self.fields.capacity() * size_of::<(String, String)>()
+    }
+
     /// Whether the comma-separated list in the fields with this name contains an element. The case
     /// of the element is ignored.
     pub fn list_contains(&self, name: &str, expected: &str) -> bool {
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -98,6 +98,8 @@
         let _ = self.stream.get_ref().set_nodelay(true);
         self.accepted_at = clock::read();
         self.active_at = self.accepted_at;
+        // A connection that was transferred to this process may have an incomplete message.
+        self.count_input();
         loop {
             if !self.is_writing() && self.frontend.closes_after_output() {
                 return self.close_gracefully(Termination::Done).await;
@@ -273,7 +275,7 @@
     /// incomplete message, and stops reading.
     async fn enforce_input_memory_limit(&mut self, now: Micros) -> Result<(), Termination> {
         let over_limit = self.shared.unread_bytes.get() > self.shared.max_unread_bytes.get();
-        if !over_limit || self.buffered_input_bytes() <= IDLE_CAPACITY_BYTES {
+        if !over_limit || self.held_input_bytes() <= IDLE_CAPACITY_BYTES {
             return Ok(());
         }
         self.rejects_requests = true;
@@ -283,12 +285,18 @@
         }
         self.frontend
             .stop_reading(DisconnectReason::OutOfMemory, &mut self.output.bytes);
-        self.input_quota.set(self.buffered_input_bytes());
+        self.count_input();
         Ok(())
     }
 
-    fn buffered_input_bytes(&self) -> usize {
-        self.frontend.buffered_bytes() + self.deferred.len()
+    /// The memory that input occupies until it is processed.
+    fn held_input_bytes(&self) -> usize {
+        self.frontend.held_memory_bytes() + self.deferred.len()
+    }
+
+    /// Counts that memory against the limit over all connections.
+    fn count_input(&mut self) {
+        self.input_quota.set(self.held_input_bytes());
     }
 
     /// Whether the socket has unread input: closing it now would reset the connection and lose it.
@@ -339,7 +347,7 @@
         if self.events.iter().any(FrontendEvent::is_request) {
             self.deferred.restart_search();
         }
-        self.input_quota.set(self.buffered_input_bytes());
+        self.count_input();
         self.forward_events(now).await;
         result
     }
@@ -347,7 +355,7 @@
     /// Appends the input in the shared buffer to the deferred input.
     fn defer_input(&mut self, count: usize) {
         self.deferred.append(&self.shared.buffer.borrow()[..count]);
-        self.input_quota.set(self.buffered_input_bytes());
+        self.count_input();
     }
 
     /// Forwards the cancellations in the deferred input, which is not parsed yet.
--- a/src/net/client/graceful_close.rs
+++ b/src/net/client/graceful_close.rs
@@ -30,7 +30,8 @@
             return reason;
         }
         drop(final_write);
-        // While the connection waits for its client to close, its buffers count against no limit.
+        // While the connection waits for its client to close it counts against no limit of bytes, so
+        // it has no buffers.
         let ClientConnection {
             shared,
             stream,
@@ -38,9 +39,11 @@
             output_guard,
             output,
             input_quota,
+            frontend,
+            deferred,
             ..
         } = self;
-        drop((output_guard, output, input_quota));
+        drop((output_guard, output, input_quota, frontend, deferred));
         // A connection that only waits for its client to close does not count as a client socket.
         let closing_limit = shared.max_closing_sockets.get();
         let Some(_closing_guard) = CountGuard::up_to(&shared.closing_sockets, closing_limit) else {
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -1,5 +1,5 @@
-//! Guards the memory limit against hundreds of clients that are connected at once and send large
-//! requests.
+//! Guards the memory limit against hundreds of clients that are connected at once: those that write
+//! slowly, that stop half way through a large request, and that send very many short fields.
 #[path = "common/deployment.rs"]
 mod deployment;
 
@@ -8,7 +8,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
-use yokelift::testkit::clients::{http_request, rpc_line};
+use yokelift::testkit::clients::{STATUS, http_request, rpc_line};
 use yokelift::testkit::daemon::DaemonLimits;
 
 /// Half of them are for client connections.
@@ -18,10 +18,15 @@
 const DURATION: Duration = Duration::from_millis(3_500);
 /// The time between two writes of a client.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+/// The number of writes of a slow client.
+const SLOW_WRITES: usize = 40;
 /// The length of a large statement, in bytes.
 const STATEMENT_BYTES: usize = 180_000;
+/// The length of a long head, in bytes, just below the limit.
+const HEAD_BYTES: usize = 32_000;
 /// The length of the parameters of a JSON-RPC request, in bytes, just below the limit.
 const PARAMETER_BYTES: usize = 240_000;
+const FIRST_LINE: &str = "POST / HTTP/1.1\r\n";
 
 /// How the inputs are played.
 struct Plan {
@@ -59,6 +64,21 @@
             ..Input::rpc(name, bytes.into())
         }
     }
+
+    /// The same in pieces.
+    fn slowly(self) -> Input {
+        Input {
+            write_bytes: self.bytes.len() / SLOW_WRITES,
+            ..self
+        }
+    }
+
+    /// The same without its end.
+    fn cut(mut self) -> Input {
+        self.bytes
+            .truncate(self.bytes.len() - self.bytes.len() / 20);
+        self
+    }
 }
 
 fn large_rpc_request() -> Vec<u8> {
@@ -76,6 +96,24 @@
     .into_bytes()
 }
 
+/// A message after one that makes the connection an ordinary one.
+fn after_status(message: Vec<u8>) -> Vec<u8> {
+    [STATUS, &message].concat()
+}
+
+fn long_text_of(part: &str) -> String {
+    part.repeat(HEAD_BYTES / part.len())
+}
+
+fn large_http_request(head: &str) -> String {
+    let statement = "x".repeat(STATEMENT_BYTES);
+    format!("{head}Content-Length: {STATEMENT_BYTES}\r\n\r\n{statement}")
+}
+
+fn without_body(head: &str) -> String {
+    format!("{head}Content-Length: 9\r\n\r\n")
+}
+
 /// There are no engines, so that each valid request waits.
 fn complete_requests() -> Vec<Input> {
     let statement = "x".repeat(STATEMENT_BYTES);
@@ -90,6 +128,43 @@
     ]
 }
 
+fn incomplete_requests() -> Vec<Input> {
+    let long_field = format!("a: {}\r\n", "x".repeat(330));
+    let long_fields = format!("{FIRST_LINE}{}", long_text_of(&long_field));
+    let hundred_fields = format!("{FIRST_LINE}{}", "a:\r\n".repeat(90));
+    let fields = format!("{FIRST_LINE}{}", long_text_of("a:\r\n"));
+    let parameters = format!("POST /?{} HTTP/1.1\r\n", long_text_of("a&"));
+    let chunks = "1\r\nx\r\n".repeat(40_000);
+    let chunked = format!("{FIRST_LINE}Transfer-Encoding: chunked\r\n\r\n{chunks}");
+    let whole = large_http_request(FIRST_LINE);
+    let rpc = after_status(large_rpc_request());
+    vec![
+        Input::rpc("half a JSON-RPC request", rpc.clone()).cut(),
+        Input::rpc("a slow JSON-RPC request", rpc).slowly(),
+        Input::http("half an HTTP request", whole.clone()).cut(),
+        Input::http("a slow HTTP request", whole).slowly(),
+        Input::http("small chunks", chunked.clone()),
+        Input::http("small chunks, slowly", chunked).slowly(),
+        Input::http("many short fields", fields.clone()),
+        Input::http("many short fields, slowly", fields).slowly(),
+        Input::http(
+            "short fields without the body",
+            without_body(&hundred_fields),
+        ),
+        Input::http("long fields without the body", without_body(&long_fields)),
+        Input::http(
+            "long fields and half a body",
+            large_http_request(&long_fields),
+        )
+        .cut(),
+        Input::http(
+            "many parameters without the body",
+            without_body(&parameters),
+        ),
+        Input::http("many parameters, slowly", large_http_request(&parameters)).slowly(),
+    ]
+}
+
 /// A client that connects again when its connection is closed.
 struct Client {
     addr: SocketAddr,
@@ -207,3 +282,13 @@
     };
     assert_within_limit(&plan, &complete_requests());
 }
+
+/// Guards against a client that holds more memory than is counted: that of an incomplete request.
+#[test]
+fn incomplete_requests_stay_within_the_memory_limit() {
+    let plan = Plan {
+        clients: 900,
+        parallel: 4,
+    };
+    assert_within_limit(&plan, &incomplete_requests());
+}
--- a/tests/unit/clickhouse.rs
+++ b/tests/unit/clickhouse.rs
@@ -8,7 +8,7 @@
 use crate::config::process::Names;
 use crate::dispatcher::termination::Termination;
 use crate::dispatcher::{AttemptRequest, ClientRequest, Failure, Response};
-use crate::frontend::{Frontend, FrontendEvent};
+use crate::frontend::{DisconnectReason, Frontend, FrontendEvent};
 use crate::policy::api::{AttemptNo, ClassId, RequestId};
 use quickcheck::{Gen, QuickCheck};
 use std::rc::Rc;
@@ -343,3 +343,29 @@
         }
     }
 }
+
+/// Guards the memory limit for input against heads that wait for their bodies: they are no longer
+/// among the buffered bytes.
+#[test]
+fn the_head_of_an_incomplete_request_counts_as_memory() {
+    let long_target = "a&".repeat(4_000);
+    let short_fields = "a:\r\n".repeat(90);
+    for (head, at_least) in [
+        (format!("POST /?{long_target} HTTP/1.1\r\n"), 8_000),
+        (
+            format!("POST / HTTP/1.1\r\n{short_fields}"),
+            90 * size_of::<(String, String)>(),
+        ),
+    ] {
+        let mut frontend = connection();
+        feed(
+            &mut frontend,
+            format!("{head}Content-Length: 9\r\n\r\n").as_bytes(),
+        );
+        assert_eq!(frontend.buffered_bytes(), 0);
+        assert!(frontend.held_memory_bytes() >= at_least, "{at_least}");
+
+        frontend.stop_reading(DisconnectReason::OutOfMemory, &mut Vec::new());
+        assert_eq!(frontend.held_memory_bytes(), 0);
+    }
+}
