--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -208,15 +208,6 @@
     }
 }
 
-/// The highest resident memory of a process so far, in MB.
-fn highest_memory_mb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a process");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
-    let kilobytes: Option<u64> = kilobytes.and_then(|value| value.parse().ok());
-    kilobytes.expect("a value in kB").div_ceil(1_024)
-}
-
 /// Has the clients send to a daemon of their own, and returns the daemon's highest memory in MB.
 fn play(clients: usize, input: &Input) -> u64 {
     let deployment = Deployment::start(DeploymentPlan {
@@ -240,7 +231,7 @@
         }
         std::thread::sleep(round_ends_at.saturating_duration_since(Instant::now()));
     }
-    highest_memory_mb(deployment.daemon.pid())
+    deployment.highest_memory_mb()
 }
 
 /// Plays the inputs, some of them at the same time, and asserts that no daemon exceeds its limit.
--- a/tests/common/deployment.rs
+++ b/tests/common/deployment.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// The daemon's highest resident memory so far, in MB.
+    pub(crate) fn highest_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.daemon.pid());
+        let status = std::fs::read_to_string(path).expect("a process");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        let kilobytes: Option<u64> = kilobytes.and_then(|value| value.parse().ok());
+        kilobytes.expect("a value in kB").div_ceil(1_024)
+    }
+
     /// The daemon's program.
     pub(crate) fn program() -> &'static Path {
         Path::new(env!("CARGO_BIN_EXE_yokelift"))
