Read on while input is deferred, so that a client that has left is noticed

Seen by operators of other deployments: a client closes its connection with much still unread, and its requests are sent on.

Cause: the end of a stream is behind all that the client has sent, and a connection whose input is deferred read no more than 64 KB ahead.

Change: up to 4 MB are read ahead while half of the memory for input is free. Taking a chunk no longer moves the rest, and the search for cancellations stays at the first 64 KB.

--- a/src/net/client/buffers.rs
+++ b/src/net/client/buffers.rs
@@ -5,6 +5,9 @@
 
 /// Deferred bytes that the frontend parses at a time.
 pub(super) const DEFERRED_CHUNK_BYTES: usize = 4 * 1024;
+/// Deferred bytes that are searched for cancellations. The search is repeated after each request that
+/// is parsed, so it must not grow with all that a client sends.
+const MAX_SEARCHED_BYTES: usize = 64 * 1024;
 
 /// Output for the client that is not yet written to the socket.
 pub(super) struct OutputBuffer<'a> {
@@ -56,18 +59,24 @@
 /// the bytes: removing a chunk reduces it by the length of the chunk, to no less than 0.
 #[derive(Default)]
 pub(super) struct DeferredInput {
+    /// The deferred bytes, after `taken` bytes that were removed.
     bytes: Vec<u8>,
-    /// The offset up to which the bytes were searched for cancellations.
+    taken: usize,
+    /// The offset up to which the deferred bytes were searched for cancellations.
     searched: usize,
 }
 
 impl DeferredInput {
+    fn pending(&self) -> &[u8] {
+        &self.bytes[self.taken..]
+    }
+
     pub(super) fn len(&self) -> usize {
-        self.bytes.len()
+        self.bytes.len() - self.taken
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len() == 0
     }
 
     /// Appends bytes.
@@ -77,11 +86,22 @@
 
     /// Removes and returns the first chunk, which is to be parsed now.
     pub(super) fn take_chunk(&mut self) -> Vec<u8> {
-        let rest = self
-            .bytes
-            .split_off(self.bytes.len().min(DEFERRED_CHUNK_BYTES));
-        self.searched = self.searched.saturating_sub(DEFERRED_CHUNK_BYTES);
-        std::mem::replace(&mut self.bytes, rest)
+        let length = self.len().min(DEFERRED_CHUNK_BYTES);
+        let chunk = self.pending()[..length].to_vec();
+        self.taken += length;
+        self.searched = self.searched.saturating_sub(length);
+        self.compact();
+        chunk
+    }
+
+    /// Frees the removed bytes once they are at least half of all, so that each byte is moved at
+    /// most once on average.
+    fn compact(&mut self) {
+        if 2 * self.taken >= self.bytes.len() {
+            self.bytes.drain(..self.taken);
+            self.taken = 0;
+            free_grown_buffer(&mut self.bytes);
+        }
     }
 
     /// Makes the next search begin at the first byte. Required after a request was parsed, as its
@@ -90,10 +110,14 @@
         self.searched = 0;
     }
 
-    /// Has the frontend search the bytes from the offset on for cancellations, and advances the
-    /// offset.
+    /// Has the frontend search the first [`MAX_SEARCHED_BYTES`] from the offset on for cancellations,
+    /// and advances the offset.
     pub(super) fn search(&mut self, frontend: &mut impl Frontend, events: &mut Vec<FrontendEvent>) {
-        let searched = frontend.scan_deferred_input(&self.bytes, self.searched, events);
-        self.searched = searched.min(self.bytes.len());
+        let length = self.len().min(MAX_SEARCHED_BYTES);
+        if self.searched < length {
+            let bytes = &self.bytes[self.taken..][..length];
+            let searched = frontend.scan_deferred_input(bytes, self.searched, events);
+            self.searched = searched.min(length);
+        }
     }
 }
--- a/src/net/client/wait.rs
+++ b/src/net/client/wait.rs
@@ -12,9 +12,12 @@
 
 /// Input from a client is deferred while more bytes than this wait to be written to it.
 const MAX_UNWRITTEN_BYTES: usize = 256 * 1024;
-/// The most deferred input that a connection buffers; once it is reached nothing is read, and the
-/// client's disconnect is detected by polling instead.
-const MAX_DEFERRED_BYTES: usize = 64 * 1024;
+/// The deferred input that a connection may always buffer.
+const MIN_DEFERRED_BYTES: usize = 64 * 1024;
+/// The most deferred input that a connection buffers while there is memory. Once the limit is reached
+/// nothing is read, and the client's disconnect is detected by polling instead: that detects it only
+/// if the system has received the end of the stream, which is behind all that the client has sent.
+const MAX_DEFERRED_BYTES: usize = 4 * 1024 * 1024;
 /// The interval of that polling.
 const DISCONNECT_POLL_INTERVAL: Micros = 20 * MS;
 /// A client without open requests is disconnected after this time without activity. Ordinary
@@ -121,7 +124,7 @@
         // Input that is already deferred is parsed first.
         let defers_input =
             throttle.is_active() || !self.deferred.is_empty() || self.frontend.awaits_response();
-        let input_blocked = defers_input && self.deferred.len() >= MAX_DEFERRED_BYTES;
+        let input_blocked = defers_input && self.deferred.len() >= self.max_deferred_bytes();
         let message_due_at = self.message_due_at();
         let unresponsive_at = match (writing, idle) {
             (true, _) => Some(self.active_at + WRITE_STALL_TIMEOUT),
@@ -149,6 +152,17 @@
         }
     }
 
+    /// The deferred input that this connection may buffer now. Clients may use half of the memory for
+    /// input in this way; the rest is for requests that are being read.
+    fn max_deferred_bytes(&self) -> usize {
+        let has_memory = 2 * self.shared.unread_bytes.get() < self.shared.max_unread_bytes.get();
+        if has_memory {
+            MAX_DEFERRED_BYTES
+        } else {
+            MIN_DEFERRED_BYTES
+        }
+    }
+
     /// When the client's first valid message, or the rest of the incomplete one, is due.
     fn message_due_at(&self) -> Option<Micros> {
         let first_message_since = (!self.frontend.has_valid_message()).then_some(self.accepted_at);
--- a/src/testkit/execution_log.rs
+++ b/src/testkit/execution_log.rs
@@ -285,6 +285,11 @@
         self.runs.borrow()[run.0].end.is_none()
     }
 
+    /// Returns copies of all runs, in order.
+    pub fn all_runs(&self) -> Vec<Run> {
+        self.runs.borrow().clone()
+    }
+
     /// Returns copies of the runs of a query, in order.
     pub fn runs_of(&self, query: &str) -> Vec<Run> {
         let runs = self.runs.borrow();
