Encode the coordinator's frames beside their decoder

The test kit's coordinator had an encoder of its own for the frames of the watch. The hot restart is about to send such frames too, so encoder and decoder stand in one module, and the test kit uses it. A weight is rounded to thousandths instead of cut; no test has one that differs.

--- a/src/net/discovery/coordinator.rs
+++ b/src/net/discovery/coordinator.rs
@@ -1,7 +1,7 @@
 //! The watch of the coordinator: receives its numbered events, reconnects whenever its connection
 //! ends, and connects to another address when the coordinator migrates.
 use super::WatchEvent;
-use super::frame::{self, Frame, FrameError, Record};
+use super::frame::{self, Frame, FrameError};
 use crate::backoff::Backoff;
 use crate::clock::{self, Micros, SEC};
 use crate::dispatcher::termination::Termination;
@@ -125,12 +125,7 @@
     /// Missing events are requested again once, over a new connection; if they are still missing,
     /// they are skipped, as they may not be available any more.
     fn next_event(&self, frame: &Frame) -> Result<Option<WatchEvent>, WatchError> {
-        let Frame::Event {
-            index,
-            full,
-            records,
-        } = *frame
-        else {
+        let Frame::Event { index, full, .. } = *frame else {
             return Ok(None);
         };
         let last = self.position.last_index.get();
@@ -144,16 +139,7 @@
         }
         self.position.last_index.set(index);
         self.position.gap_reported.set(false);
-        Ok(Some(decode_event(index, full, records)))
-    }
-}
-
-/// Decodes the records of an event; those with an unknown state are skipped.
-fn decode_event(index: u64, full: bool, records: &[Record]) -> WatchEvent {
-    WatchEvent {
-        index,
-        full,
-        endpoints: records.iter().filter_map(frame::decode_record).collect(),
+        Ok(frame.to_event())
     }
 }
 
--- a/src/net/discovery/frame.rs
+++ b/src/net/discovery/frame.rs
@@ -1,10 +1,10 @@
 //! The frames of the coordinator's watch. A frame is a length of 4 bytes, followed by as many
 //! bytes: the event's number (8 bytes), its kind (1 byte), and records of [`RECORD_BYTES`] each.
 //! All integers are big-endian.
-use super::ListedEndpoint;
+use super::{ListedEndpoint, WatchEvent};
 use crate::dispatcher::termination::Termination;
 use crate::policy::api::{CellId, Endpoint, EngineId, MachineTypeId, Readiness, ZoneId};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// The length of the record of one endpoint, in bytes.
 pub const RECORD_BYTES: usize = 27;
@@ -39,6 +39,25 @@
     },
 }
 
+impl Frame<'_> {
+    /// The event of the frame, without records of an unknown state; `None` for a heartbeat.
+    pub fn to_event(&self) -> Option<WatchEvent> {
+        let Frame::Event {
+            index,
+            full,
+            records,
+        } = *self
+        else {
+            return None;
+        };
+        Some(WatchEvent {
+            index,
+            full,
+            endpoints: records.iter().filter_map(decode_record).collect(),
+        })
+    }
+}
+
 /// A frame with its length in bytes, including the length field.
 #[derive(Debug, PartialEq, Eq)]
 pub struct DecodedFrame<'a> {
@@ -131,6 +150,54 @@
     })
 }
 
+/// Encodes the frame of an event.
+pub fn encode_event(event: &WatchEvent) -> Vec<u8> {
+    let kind = if event.full { KIND_FULL } else { KIND_CHANGES };
+    let records: Vec<u8> = event.endpoints.iter().flat_map(encode_record).collect();
+    encode_frame(event.index, kind, &records)
+}
+
+/// Encodes the frame without an event that a coordinator sends at intervals.
+pub fn encode_heartbeat(index: u64) -> Vec<u8> {
+    encode_frame(index, KIND_HEARTBEAT, &[])
+}
+
+fn encode_frame(index: u64, kind: u8, records: &[u8]) -> Vec<u8> {
+    let length = HEADER_BYTES + records.len();
+    let mut frame = (length as u32).to_be_bytes().to_vec();
+    frame.extend(index.to_be_bytes());
+    frame.push(kind);
+    frame.extend(records);
+    frame
+}
+
+/// Encodes the record of one endpoint. An address of IPv6, which no record can hold, becomes
+/// `0.0.0.0`.
+fn encode_record(listed: &ListedEndpoint) -> Record {
+    let endpoint = &listed.endpoint;
+    let ip = match listed.addr.ip() {
+        IpAddr::V4(ip) => ip,
+        IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+    };
+    let weight = (endpoint.weight * WEIGHT_SCALE).round() as u32;
+    let started_ms = endpoint.started_at / NANOS_PER_MILLI;
+    let mut record = [0; RECORD_BYTES];
+    record[..4].copy_from_slice(&(endpoint.id.0 as u32).to_be_bytes());
+    record[4..8].copy_from_slice(&ip.octets());
+    record[8..10].copy_from_slice(&listed.addr.port().to_be_bytes());
+    record[10] = match endpoint.readiness {
+        Readiness::Ready => 0,
+        Readiness::Draining => 1,
+        Readiness::Removed => 2,
+    };
+    record[11] = endpoint.zone.0 as u8;
+    record[12] = endpoint.machine_type.0 as u8;
+    record[13..15].copy_from_slice(&endpoint.cell.0.to_be_bytes());
+    record[15..19].copy_from_slice(&weight.to_be_bytes());
+    record[19..].copy_from_slice(&started_ms.to_be_bytes());
+    record
+}
+
 fn bytes_at<const N: usize>(bytes: &[u8], offset: usize) -> [u8; N] {
     let mut field = [0; N];
     field.copy_from_slice(&bytes[offset..offset + N]);
--- a/src/testkit/coordinator.rs
+++ b/src/testkit/coordinator.rs
@@ -1,6 +1,6 @@
 //! A stand-in coordinator, which sends numbered events to every client that watches it.
 use super::{Executor, listener};
-use crate::net::discovery::ListedEndpoint;
+use crate::net::discovery::{ListedEndpoint, WatchEvent, frame};
 use crate::policy::api::{Endpoint, EngineId, Readiness};
 use async_channel::{Receiver, Sender, bounded};
 use async_io::{Async, Timer};
@@ -9,15 +9,10 @@
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-const KIND_HEARTBEAT: u8 = 0;
-const KIND_FULL: u8 = 1;
-const KIND_CHANGES: u8 = 2;
-/// The length of a frame's header: the event's number and its kind.
-const HEADER_BYTES: usize = 9;
 /// The number of the first event that is sent as a frame. The event before it is the endpoint list
 /// in the daemon's configuration.
 const FIRST_INDEX: u64 = 2;
@@ -46,37 +41,6 @@
     stall_count: Cell<u64>,
 }
 
-fn encode_record(listed: &ListedEndpoint) -> Vec<u8> {
-    let endpoint = &listed.endpoint;
-    let ip = match listed.addr.ip() {
-        IpAddr::V4(ip) => ip.octets(),
-        IpAddr::V6(_) => [0; 4],
-    };
-    let readiness = match endpoint.readiness {
-        Readiness::Ready => 0,
-        Readiness::Draining => 1,
-        Readiness::Removed => 2,
-    };
-    let mut record = (endpoint.id.0 as u32).to_be_bytes().to_vec();
-    record.extend(ip);
-    record.extend(listed.addr.port().to_be_bytes());
-    record.push(readiness);
-    record.extend([endpoint.zone.0 as u8, endpoint.machine_type.0 as u8]);
-    record.extend(endpoint.cell.0.to_be_bytes());
-    record.extend(((endpoint.weight * 1000.0) as u32).to_be_bytes());
-    record.extend((endpoint.started_at / 1_000_000).to_be_bytes());
-    record
-}
-
-fn encode_frame(index: u64, kind: u8, records: &[u8]) -> Vec<u8> {
-    let length = HEADER_BYTES + records.len();
-    let mut frame = (length as u32).to_be_bytes().to_vec();
-    frame.extend(index.to_be_bytes());
-    frame.push(kind);
-    frame.extend(records);
-    frame
-}
-
 impl Coordinator {
     /// Starts a coordinator without events.
     pub fn start(executor: &Executor) -> Coordinator {
@@ -114,19 +78,22 @@
 
     /// Sends a new event with changed endpoints.
     pub fn send_changes(&self, endpoints: &[ListedEndpoint]) {
-        self.send(KIND_CHANGES, endpoints);
+        self.send(false, endpoints);
     }
 
     /// Sends a new event with the complete list.
     pub fn send_full_list(&self, endpoints: &[ListedEndpoint]) {
-        self.send(KIND_FULL, endpoints);
+        self.send(true, endpoints);
     }
 
-    fn send(&self, kind: u8, endpoints: &[ListedEndpoint]) {
-        let records: Vec<u8> = endpoints.iter().flat_map(encode_record).collect();
+    fn send(&self, full: bool, endpoints: &[ListedEndpoint]) {
         let mut frames = self.state.frames.borrow_mut();
-        let index = frames.len() as u64 + FIRST_INDEX;
-        frames.push(encode_frame(index, kind, &records));
+        let event = WatchEvent {
+            index: frames.len() as u64 + FIRST_INDEX,
+            full,
+            endpoints: endpoints.to_vec(),
+        };
+        frames.push(frame::encode_event(&event));
     }
 
     /// Stops sending events on the connections that are open now, which stay open.
@@ -188,7 +155,7 @@
             }
         }
         if polls % POLLS_PER_HEARTBEAT == 0 {
-            let heartbeat = encode_frame(sent as u64 + 1, KIND_HEARTBEAT, &[]);
+            let heartbeat = frame::encode_heartbeat(sent as u64 + 1);
             stream.write_all(&heartbeat).await?;
         }
         polls += 1;
