Exchange the endpoint list between the processes of an upgrade

What callers saw: an upgrade while the coordinator was silent sent loads to an engine of which the old process had known for 7.5 s that it drains.

Cause: each process learned of the engines from its own connection to the coordinator alone. The transfer passed on neither the endpoint list nor the number of its last event, and the new process served with the list of its configuration after 0.7 s without the coordinator.

Evidence: the record of the case shows a watch "after event 1" by the new process while the old one had event 2; the old one sent nothing to the engine, and the coordinator nothing to the new one.

Change: each process follows the endpoint list of the other one, the complete list first and then every event, in both directions, through a chain of processes as well. Events of the other process go through the coordinator's watch, which skips those that it has. The new process serves only once its dispatcher has the list. Event numbers are compared only if both configurations begin with the same event. An old process of an earlier version sends no list: the new one waits for the coordinator for up to 4 s then, and for 0.4 s for the list. The message is one that earlier versions ignore. The predecessor's measure of open work moves to a file of its own.

--- a/src/hot_restart/message.rs
+++ b/src/hot_restart/message.rs
@@ -21,6 +21,12 @@
 //! predecessor of an earlier version reads an id as a response to an unknown connection, and ignores
 //! it.
 //!
+//! Each process sends what it has learned of the engines: the complete endpoint list first, and then
+//! every event of the coordinator that it applies, as `answer 0 NUMBERING LENGTH` and the
+//! coordinator's frame. The predecessor sends the list after the first `leave`; the successor sends
+//! its own once it has received one. A process of an earlier version reads these messages as
+//! responses to an unknown connection as well.
+//!
 //! A process that is asked to stop sends `drained` to the other one. Of two processes that are both
 //! asked, the one asked last closes the listeners. Processes of earlier versions ignore `drained`
 //! at this time.
@@ -87,6 +93,14 @@
         /// The client's id of the request, as a number, or [`EXCHANGE_ANNOUNCEMENT`].
         id: u64,
     },
+    /// From either process: an event of the coordinator that it has applied, or the complete
+    /// endpoint list as one event.
+    EndpointList {
+        /// The sequence to which the event's number belongs.
+        numbering: u64,
+        /// The event as a frame of the coordinator's watch; never empty.
+        frame: Vec<u8>,
+    },
     /// The client cancelled a request that is open at the predecessor.
     Cancel {
         /// The connection's number at the predecessor.
@@ -122,6 +136,7 @@
                 encoded.extend_from_slice(&state.unwritten);
             }
             HotRestartMessage::Response { bytes, .. } => encoded.extend_from_slice(bytes),
+            HotRestartMessage::EndpointList { frame, .. } => encoded.extend_from_slice(frame),
             _ => {}
         }
         encoded
@@ -153,6 +168,9 @@
             HotRestartMessage::RequestAdmitted { id } => {
                 format!("answer {NO_CONNECTION} {id} 0\n")
             }
+            HotRestartMessage::EndpointList { numbering, frame } => {
+                format!("answer {NO_CONNECTION} {numbering} {}\n", frame.len())
+            }
             HotRestartMessage::Cancel { conn, tag } => format!("withdraw {conn} {tag}\n"),
             HotRestartMessage::ClientDisconnected { conn } => format!("gone {conn}\n"),
         }
@@ -196,6 +214,8 @@
     },
     /// A [`HotRestartMessage::Response`].
     Response { conn: u64, tag: u64, length: usize },
+    /// A [`HotRestartMessage::EndpointList`].
+    EndpointList { numbering: u64, length: usize },
 }
 
 impl Header {
@@ -208,7 +228,7 @@
                 unwritten_length,
                 ..
             } => input_length + unwritten_length,
-            Header::Response { length, .. } => *length,
+            Header::Response { length, .. } | Header::EndpointList { length, .. } => *length,
         }
     }
 
@@ -237,6 +257,10 @@
                 tag,
                 bytes: body.to_vec(),
             },
+            Header::EndpointList { numbering, .. } => HotRestartMessage::EndpointList {
+                numbering,
+                frame: body.to_vec(),
+            },
         }
     }
 
@@ -263,6 +287,10 @@
                     id: id.parse().ok()?,
                 }))
             }
+            ("answer", ["0", numbering, length]) => Some(Header::EndpointList {
+                numbering: numbering.parse().ok()?,
+                length: parse_length(length)?,
+            }),
             ("answer", [conn, tag, length]) => Some(Header::Response {
                 conn: conn.parse().ok()?,
                 tag: tag.parse().ok()?,
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -8,7 +8,7 @@
 mod peer_state;
 mod stage;
 
-pub use peer_state::{PredecessorState, SuccessorState};
+pub use peer_state::{PredecessorList, PredecessorState, SuccessorState};
 pub use stage::Stage;
 
 use crate::clock::{MS, Micros};
@@ -63,9 +63,9 @@
 /// The state machine of the process. See the [module](self).
 #[derive(Clone, Debug)]
 pub struct Lifecycle {
-    /// Whether an endpoint list was received, or the process serves with the list of its
-    /// configuration.
-    endpoint_list_known: bool,
+    /// Whether the coordinator has sent something, or the timeout for it has passed.
+    endpoint_list_received: bool,
+    predecessor_list: PredecessorList,
     /// When the current drain started.
     drained_at: Option<Micros>,
     /// When the process was asked to stop.
@@ -86,7 +86,8 @@
 impl Default for Lifecycle {
     fn default() -> Lifecycle {
         Lifecycle {
-            endpoint_list_known: false,
+            endpoint_list_received: false,
+            predecessor_list: PredecessorList::NotExpected,
             drained_at: None,
             stopping_at: None,
             closing: false,
@@ -100,9 +101,36 @@
 }
 
 impl Lifecycle {
-    /// Records that the endpoint list is known, or that the timeout for it has passed.
+    /// Records that the coordinator has sent something, or that the timeout for it has passed.
     pub fn endpoint_list_received(&mut self) {
-        self.endpoint_list_known = true;
+        self.endpoint_list_received = true;
+    }
+
+    /// Sets what this process has of its predecessor's endpoint list. A list that was adopted stays
+    /// so.
+    pub fn set_predecessor_list(&mut self, list: PredecessorList) {
+        if self.predecessor_list != PredecessorList::Adopted {
+            self.predecessor_list = list;
+        }
+    }
+
+    /// What this process has of its predecessor's endpoint list.
+    pub fn predecessor_list(&self) -> PredecessorList {
+        self.predecessor_list
+    }
+
+    /// Whether the process may serve without having heard from the coordinator. While a predecessor
+    /// serves with a list that this process does not have, it may know of drains of which this
+    /// process knows nothing.
+    pub fn may_serve_without_coordinator(&self) -> bool {
+        matches!(
+            self.predecessor_list,
+            PredecessorList::NotExpected | PredecessorList::Adopted
+        )
+    }
+
+    fn endpoint_list_known(&self) -> bool {
+        self.endpoint_list_received && self.predecessor_list != PredecessorList::Awaited
     }
 
     /// Starts a drain. A drain that is already active keeps its start time.
@@ -146,13 +174,16 @@
     }
 
     /// Sets the state of the predecessor when its listeners are adopted, when it is asked to stop,
-    /// or when it exits. If both processes are asked to stop, the first one leaves the listeners to
+    /// or when it exits; from then on no endpoint list is expected of it. If both processes are asked to stop, the first one leaves the listeners to
     /// the other: a predecessor that is asked later stays [`PredecessorState::Serving`].
     pub fn set_predecessor(&mut self, predecessor: PredecessorState) {
         if predecessor == PredecessorState::Stopping && self.is_stopping() {
             return;
         }
         self.predecessor = predecessor;
+        if predecessor == PredecessorState::None {
+            self.set_predecessor_list(PredecessorList::NotExpected);
+        }
     }
 
     /// Sets the state of the successor when it connects, becomes ready, is asked to stop, or exits.
@@ -180,7 +211,7 @@
             Stage::Stopping
         } else if self.is_draining() {
             Stage::Draining
-        } else if !self.endpoint_list_known {
+        } else if !self.endpoint_list_known() {
             Stage::Starting
         } else if self.successor == SuccessorState::Ready {
             Stage::HotRestart
@@ -207,7 +238,7 @@
 
     /// Whether the process can serve requests. It also does so while it is draining.
     pub fn can_serve(&self) -> bool {
-        self.endpoint_list_known && !self.is_stopping()
+        self.endpoint_list_known() && !self.is_stopping()
     }
 
     /// Whether a drain is active.
--- a/src/lifecycle/peer_state.rs
+++ b/src/lifecycle/peer_state.rs
@@ -14,6 +14,20 @@
     Stopping,
 }
 
+/// What this process has of its predecessor's endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PredecessorList {
+    /// There is no predecessor, or it has exited without sending its list.
+    #[default]
+    NotExpected,
+    /// The predecessor is about to send it.
+    Awaited,
+    /// The predecessor does not send it, or this process can't use it.
+    Unavailable,
+    /// This process acts on it.
+    Adopted,
+}
+
 /// The state of the predecessor of this process in a hot restart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PredecessorState {
--- a/src/net/discovery/coordinator.rs
+++ b/src/net/discovery/coordinator.rs
@@ -19,6 +19,8 @@
 
 /// Time allowed for establishing a connection.
 const CONNECT_TIMEOUT_MICROS: Micros = SEC;
+/// Capacity of the watch's mailbox in commands.
+pub const MAILBOX_CAPACITY: usize = 16;
 /// Size of a read from the socket.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -143,13 +145,21 @@
     }
 }
 
-/// A message to the watch with the current address of the coordinator.
-pub struct CoordinatorMigration {
-    /// The address. `None` opens another connection to the present address, for when the present
-    /// connection seems stuck.
-    pub addr: Option<SocketAddr>,
-    /// Events that came with the migration; those received before are skipped.
-    pub known: Vec<WatchEvent>,
+/// A message to the watch.
+pub enum WatchCommand {
+    /// The coordinator has this address now.
+    Migrate {
+        /// The address.
+        addr: SocketAddr,
+        /// Events that came with the migration; those received before are skipped.
+        known: Vec<WatchEvent>,
+    },
+    /// Open another connection to the present address, as the present connection seems stuck.
+    Reconnect,
+    /// An event that the other process of a hot restart has applied. It is skipped if it, or a later
+    /// one, was received before. It may follow on events that are missing: the other process sends
+    /// all that it has.
+    Adopt(WatchEvent),
 }
 
 /// Where the watch starts.
@@ -175,7 +185,7 @@
 pub async fn run<F>(
     shared: Rc<Shared>,
     start: WatchStart,
-    migrations: Receiver<CoordinatorMigration>,
+    commands: Receiver<WatchCommand>,
     events: Sender<WatchEvent>,
     on_contact: F,
 ) where
@@ -188,12 +198,20 @@
         on_contact,
     });
     let mut current: Option<SocketAddr> = None;
-    while let Ok(migration) = migrations.recv().await {
-        watch.forward_known(migration.known).await;
-        let previous = current;
-        current = migration.addr.or(current);
-        let must_connect = migration.addr.is_none() || previous != current;
-        let Some(addr) = current.filter(|_| must_connect) else {
+    while let Ok(command) = commands.recv().await {
+        let addr = match command {
+            WatchCommand::Migrate { addr, known } => {
+                watch.forward_unknown(known).await;
+                let is_new = current.replace(addr) != Some(addr);
+                is_new.then_some(addr)
+            }
+            WatchCommand::Reconnect => current,
+            WatchCommand::Adopt(event) => {
+                watch.forward_unknown(vec![event]).await;
+                None
+            }
+        };
+        let Some(addr) = addr else {
             continue;
         };
         let generation = position.generation.get() + 1;
@@ -205,8 +223,9 @@
 }
 
 impl<F: Fn()> Watch<F> {
-    async fn forward_known(&self, known: Vec<WatchEvent>) {
-        for event in known {
+    /// Forwards the events that were not received before.
+    async fn forward_unknown(&self, events: Vec<WatchEvent>) {
+        for event in events {
             if event.index > self.position.last_index.get() {
                 self.position.last_index.set(event.index);
                 let _ = self.events.send(event).await;
--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -1,12 +1,14 @@
 //! The actor of the endpoint list: applies the events of the coordinator, keeps a handle for each
 //! engine, and sends the changes to the dispatcher.
 use super::endpoint_factory::{ClickHouseEngines, EndpointFactory};
+use super::followers::{Follower, Followers};
 use super::{ListedEndpoint, WatchEvent};
 use crate::net::Shared;
 use crate::net::dispatcher::{DispatcherEvent, EndpointListUpdate};
 use crate::net::engine::EndpointHandle;
 use crate::policy::api::{EndpointListKind, EngineId, Readiness};
 use async_channel::{Receiver, Sender};
+use futures_lite::future::or;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,13 +40,42 @@
     new_endpoint: EndpointFactory,
     clickhouse: ClickHouseEngines,
     known: BTreeMap<EngineId, KnownEndpoint>,
+    /// The number of the last event.
+    last_index: u64,
+}
+
+/// The messages to the actor of the endpoint list.
+pub struct EndpointListMailbox {
+    /// The events to apply. The actor ends when this channel is closed.
+    pub events: Receiver<WatchEvent>,
+    /// Followers to add.
+    pub followers: Receiver<Follower>,
+}
+
+/// A message to the actor.
+enum Message {
+    Event(WatchEvent),
+    Follow(Follower),
+}
+
+impl EndpointListMailbox {
+    async fn next(&self) -> Option<Message> {
+        let event = async { self.events.recv().await.ok().map(Message::Event) };
+        let follower = async {
+            match self.followers.recv().await {
+                Ok(follower) => Some(Message::Follow(follower)),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        or(event, follower).await
+    }
 }
 
 /// Runs the actor of the endpoint list. The first event holds the endpoints known before the start.
 pub async fn run(
     shared: Rc<Shared>,
     dispatcher: Sender<DispatcherEvent>,
-    mailbox: Receiver<WatchEvent>,
+    mailbox: EndpointListMailbox,
     new_endpoint: EndpointFactory,
     clickhouse: ClickHouseEngines,
 ) {
@@ -53,9 +84,19 @@
         new_endpoint,
         clickhouse,
         known: BTreeMap::new(),
+        last_index: 0,
     };
+    let mut followers = Followers::default();
     let mut is_first = true;
-    while let Ok(mut event) = mailbox.recv().await {
+    while let Some(message) = mailbox.next().await {
+        let mut event = match message {
+            Message::Event(event) => event,
+            Message::Follow(follower) => {
+                followers.add(follower, list.to_event());
+                continue;
+            }
+        };
+        let published = (!followers.is_empty()).then(|| event.clone());
         let handles = list.apply(&mut event);
         let kind = list_kind(event.full, is_first);
         is_first = false;
@@ -67,6 +108,9 @@
             version: event.index,
         });
         let _ = dispatcher.send(update).await;
+        if let Some(event) = published {
+            followers.publish(&event);
+        }
     }
 }
 
@@ -79,9 +123,23 @@
 }
 
 impl EndpointList {
+    /// The complete list as the coordinator would send it, without the static endpoints.
+    fn to_event(&self) -> WatchEvent {
+        let static_ids = ids(&self.clickhouse.static_endpoints);
+        let endpoints = self.known.values().map(|known| known.listed);
+        WatchEvent {
+            index: self.last_index,
+            full: true,
+            endpoints: endpoints
+                .filter(|listed| !static_ids.contains(&listed.endpoint.id))
+                .collect(),
+        }
+    }
+
     /// Applies an event, after adding the endpoints whose change it implies; returns the new
     /// handles.
     fn apply(&mut self, event: &mut WatchEvent) -> Vec<NewHandle> {
+        self.last_index = self.last_index.max(event.index);
         let superseded = self.superseded_by(event);
         event.endpoints.extend(superseded);
         if event.full {
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -3,8 +3,10 @@
 pub mod coordinator;
 pub mod endpoint_factory;
 pub mod endpoint_list;
+pub mod followers;
 pub mod frame;
 pub mod known_events;
+pub mod numbering;
 
 use crate::policy::api::Endpoint;
 use std::net::SocketAddr;
--- a/src/net/fleet/membership/mod.rs
+++ b/src/net/fleet/membership/mod.rs
@@ -9,7 +9,7 @@
 use crate::clock::{self, MS, Micros};
 use crate::config::fleet::FleetConfig;
 use crate::lifecycle::Stage;
-use crate::net::discovery::coordinator::CoordinatorMigration;
+use crate::net::discovery::coordinator::WatchCommand;
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::{Shared, sleep_until};
 use actor::MembershipActor;
@@ -70,7 +70,7 @@
     pub dispatcher: Sender<DispatcherEvent>,
     /// The mailbox of the coordinator's actor, which has to reconnect and read the endpoint list
     /// again when this manager is behind the majority.
-    pub coordinator: Sender<CoordinatorMigration>,
+    pub coordinator: Sender<WatchCommand>,
 }
 
 impl MembershipService {
--- a/src/net/fleet/membership/version_guard.rs
+++ b/src/net/fleet/membership/version_guard.rs
@@ -4,7 +4,7 @@
 use crate::log;
 use crate::membership::{MemberState, Membership, RunningVersions, Straggler, VersionStatus};
 use crate::net::Shared;
-use crate::net::discovery::coordinator::CoordinatorMigration;
+use crate::net::discovery::coordinator::WatchCommand;
 use async_channel::Sender;
 use rustix::process::{Signal, getpid, kill_process};
 
@@ -15,11 +15,11 @@
     /// Whether a reload was requested since the status was last `InStep`.
     reload_requested: bool,
     /// The mailbox of the coordinator's actor, which reconnects to read the endpoint list again.
-    coordinator: Sender<CoordinatorMigration>,
+    coordinator: Sender<WatchCommand>,
 }
 
 impl VersionGuard {
-    pub(super) fn new(grace: Micros, coordinator: Sender<CoordinatorMigration>) -> VersionGuard {
+    pub(super) fn new(grace: Micros, coordinator: Sender<WatchCommand>) -> VersionGuard {
         VersionGuard {
             straggler: Straggler::default(),
             grace,
@@ -60,13 +60,8 @@
     /// the coordinator.
     fn request_reload(&self, shared: &Shared) {
         log!("fleet: behind the majority: reloading the settings and the endpoint list");
-        let reconnect = CoordinatorMigration {
-            addr: None,
-            known: Vec::new(),
-        };
-        // A full mailbox contains another migration, which causes the list to be read again as
-        // well.
-        let _ = self.coordinator.try_send(reconnect);
+        // A full mailbox contains another command, after which the check runs again.
+        let _ = self.coordinator.try_send(WatchCommand::Reconnect);
         match shared.process_overrides.get() {
             Some(overrides) => overrides
                 .requested_reloads
--- a/src/net/hot_restart/mod.rs
+++ b/src/net/hot_restart/mod.rs
@@ -6,12 +6,15 @@
 //! [`request_transfer`] and [`follow_predecessor`] in the newer one. The effects of the exchange on
 //! the stage, the limits and the connections of each process are decided by [`crate::lifecycle`].
 mod descriptors;
+mod endpoint_list_exchange;
+mod open_work;
 mod predecessor;
 mod predecessor_session;
 mod request_id_exchange;
 mod successor;
 mod successor_session;
 
+pub use endpoint_list_exchange::DiscoveryChannels;
 pub use predecessor::{Predecessor, accept_successors};
 pub use predecessor_session::TransferredItem;
 pub use successor::{TransferredState, request_transfer};
--- a/src/net/hot_restart/predecessor.rs
+++ b/src/net/hot_restart/predecessor.rs
@@ -1,5 +1,6 @@
 //! The predecessor's side: accepts successors on the manager's Unix socket.
 use super::POLL_INTERVAL;
+use super::endpoint_list_exchange::DiscoveryChannels;
 use super::predecessor_session::{self, TransferredItem};
 use crate::lifecycle::SuccessorState;
 use crate::log;
@@ -30,6 +31,8 @@
     pub listeners: Vec<(SocketAddr, OwnedFd)>,
     /// The dispatcher, whose request ids the successors must not admit again.
     pub dispatcher: Sender<DispatcherEvent>,
+    /// The actors of discovery, whose endpoint list the successors receive.
+    pub discovery: DiscoveryChannels,
 }
 
 /// A connected successor.
--- a/src/net/hot_restart/predecessor_session.rs
+++ b/src/net/hot_restart/predecessor_session.rs
@@ -1,6 +1,8 @@
 //! The predecessor's connection to one successor: transfers the listeners, then client connections
 //! and the responses to the requests that were open on them.
 use super::descriptors::send;
+use super::endpoint_list_exchange::{EndpointListExchange, Role};
+use super::open_work::OpenWork;
 use super::predecessor::{Predecessor, SuccessorConnection, SuccessorTable};
 use super::request_id_exchange::RequestIdExchange;
 use super::{POLL_INTERVAL, RESPONSE_TIMEOUT};
@@ -100,6 +102,7 @@
         return;
     }
     log!("hot restart: transferred the listeners to a successor");
+    let endpoint_lists = EndpointListExchange::start(Role::Predecessor, &predecessor.discovery);
     let session = PredecessorSession {
         shared,
         successors,
@@ -114,6 +117,7 @@
         stop_announced: false,
         dispatcher: &predecessor.dispatcher,
         request_ids: None,
+        endpoint_lists: endpoint_lists.await,
         next_poll_at: Instant::now() + POLL_INTERVAL,
     };
     if let Err(SessionError::Disconnected) = session.run().await {
@@ -175,36 +179,12 @@
     send(peer, &bytes, &descriptors).await
 }
 
-/// The open client connections and requests of this process at one time.
-#[derive(Clone, Copy)]
-struct OpenWork {
-    client_connections: f64,
-    requests: f64,
-}
-
-impl OpenWork {
-    fn now(shared: &Shared) -> OpenWork {
-        OpenWork {
-            client_connections: shared.client_sockets.get() as f64,
-            requests: shared.metrics.borrow().concurrent as f64,
-        }
-    }
-
-    /// The fraction of the connections at `start`, or of the requests at `start`, that remains: the
-    /// larger of the two.
-    fn fraction_of(self, start: OpenWork) -> f64 {
-        let fraction = |now: f64, start: f64| if start > 0.0 { now / start } else { 0.0 };
-        let client_connections = fraction(self.client_connections, start.client_connections);
-        client_connections.max(fraction(self.requests, start.requests))
-    }
-}
-
 /// Why the session woke up.
 enum WakeReason {
     Received(io::Result<usize>),
     Outgoing(TransferredItem),
-    /// Encoded messages with the ids of requests.
-    RequestIds(Vec<u8>),
+    /// Encoded messages with the ids of requests, or with an event of the coordinator.
+    Exchange(Vec<u8>),
     Poll,
 }
 
@@ -230,6 +210,7 @@
     dispatcher: &'a Sender<DispatcherEvent>,
     /// Set once the successor has announced that it exchanges request ids.
     request_ids: Option<RequestIdExchange>,
+    endpoint_lists: EndpointListExchange,
     /// When the lifecycle is checked again, however many messages arrive before.
     next_poll_at: Instant,
 }
@@ -246,7 +227,7 @@
                 }
                 WakeReason::Received(_) => return Err(SessionError::Disconnected),
                 WakeReason::Outgoing(item) => self.transfer(item).await?,
-                WakeReason::RequestIds(bytes) => (&self.peer).write_all(&bytes).await?,
+                WakeReason::Exchange(bytes) => (&self.peer).write_all(&bytes).await?,
                 WakeReason::Poll => {
                     self.next_poll_at = Instant::now() + POLL_INTERVAL;
                     self.announce_stop().await?;
@@ -272,11 +253,13 @@
         };
         let request_ids = async {
             match &self.request_ids {
-                Some(exchange) => WakeReason::RequestIds(exchange.next_messages().await),
+                Some(exchange) => WakeReason::Exchange(exchange.next_messages().await),
                 None => std::future::pending().await,
             }
         };
-        or(poll, or(received, or(outgoing, request_ids))).await
+        let endpoint_lists = &self.endpoint_lists;
+        let lists = async { WakeReason::Exchange(endpoint_lists.next_message(self.shared).await) };
+        or(poll, or(received, or(lists, or(outgoing, request_ids)))).await
     }
 
     async fn handle(&mut self, message: HotRestartMessage) {
@@ -298,6 +281,11 @@
             }
             HotRestartMessage::ClientDisconnected { conn } => drop(self.clients.remove(&conn)),
             HotRestartMessage::RequestAdmitted { id } => self.request_admitted(id).await,
+            HotRestartMessage::EndpointList { numbering, frame } => {
+                // The exchange logs an event that it ignores.
+                let lists = &self.endpoint_lists;
+                let _ = lists.received(self.shared, numbering, &frame).await;
+            }
             _ => {}
         }
     }
--- a/src/net/hot_restart/successor.rs
+++ b/src/net/hot_restart/successor.rs
@@ -27,6 +27,8 @@
     pub reserved_share: f64,
     pub(super) peer: Async<UnixStream>,
     pub(super) reader: MessageReader,
+    /// Messages that were received together with the end of the transfer.
+    pub(super) received: Vec<HotRestartMessage>,
 }
 
 /// Why the predecessor's listeners could not be received.
@@ -103,7 +105,8 @@
         if length == 0 {
             return Err(TransferError::Closed);
         }
-        for message in reader.feed(&buffer[..length])? {
+        let mut messages = reader.feed(&buffer[..length])?.into_iter();
+        while let Some(message) = messages.next() {
             match message {
                 HotRestartMessage::Listeners { addresses: listed } => addresses = listed,
                 HotRestartMessage::Draining => draining = true,
@@ -117,6 +120,7 @@
                         reserved_share: share,
                         peer,
                         reader,
+                        received: messages.collect(),
                     });
                 }
                 _ => return Err(TransferError::UnexpectedMessage),
--- a/src/net/hot_restart/successor_session.rs
+++ b/src/net/hot_restart/successor_session.rs
@@ -1,15 +1,16 @@
 //! The successor's connection to its predecessor: reports that this process serves, adopts the
 //! predecessor's client connections, and forwards the responses to requests that are still open at
 //! the predecessor.
-use super::POLL_INTERVAL;
 use super::descriptors::receive;
+use super::endpoint_list_exchange::{DiscoveryChannels, EndpointListExchange, Role};
 use super::request_id_exchange::RequestIdExchange;
 use super::successor::TransferredState;
+use super::{POLL_INTERVAL, RESPONSE_TIMEOUT};
 use crate::dispatcher::{Failure, Response};
 use crate::hot_restart::message::{
     EXCHANGE_ANNOUNCEMENT, HotRestartMessage, MessageReader, TransferredConnection,
 };
-use crate::lifecycle::PredecessorState;
+use crate::lifecycle::{PredecessorList, PredecessorState};
 use crate::log;
 use crate::net::client::AdoptedConnection;
 use crate::net::dispatcher::DispatcherEvent;
@@ -24,7 +25,7 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The size of the buffer for reads from the predecessor, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -47,6 +48,7 @@
 pub async fn follow_predecessor(
     shared: Rc<Shared>,
     dispatcher: Sender<DispatcherEvent>,
+    discovery: DiscoveryChannels,
     transferred: TransferredState,
     adopt: AdoptConnection,
     start_serving: impl FnOnce(),
@@ -64,12 +66,17 @@
         start_serving: Some(start_serving),
         stop_announced: false,
         request_ids: RequestIdExchange::start(&dispatcher).await,
+        endpoint_lists: EndpointListExchange::start(Role::Successor, &discovery).await,
+        list_expected_until: Instant::now() + Duration::from_micros(RESPONSE_TIMEOUT),
         next_poll_at: Instant::now() + POLL_INTERVAL,
     };
     let announcement = HotRestartMessage::RequestAdmitted {
         id: EXCHANGE_ANNOUNCEMENT,
     };
     session.send(announcement).await;
+    for message in transferred.received {
+        session.handle(message).await;
+    }
     let start_serving = session.run().await;
     if let Some(start_serving) = start_serving {
         while !shared.lifecycle.borrow().can_serve() {
@@ -83,8 +90,8 @@
 enum WakeReason {
     Received(io::Result<usize>),
     Outgoing(HotRestartMessage),
-    /// Encoded messages with the ids of requests.
-    RequestIds(Vec<u8>),
+    /// Encoded messages with the ids of requests, or with an event of the coordinator.
+    Exchange(Vec<u8>),
     Poll,
 }
 
@@ -106,6 +113,10 @@
     /// Whether the predecessor was told that this process was asked to stop.
     stop_announced: bool,
     request_ids: RequestIdExchange,
+    endpoint_lists: EndpointListExchange,
+    /// After this time a predecessor that has sent no endpoint list is taken for one of an earlier
+    /// version, which never sends it.
+    list_expected_until: Instant,
     /// When the lifecycle is checked again, however many messages arrive before.
     next_poll_at: Instant,
 }
@@ -118,6 +129,7 @@
             match self.next_wake(&mut buffer).await {
                 WakeReason::Poll => {
                     self.next_poll_at = Instant::now() + POLL_INTERVAL;
+                    self.stop_expecting_list();
                     self.report_ready_if_able().await;
                     self.announce_stop().await;
                     // This process closes its connections while requests are open at the
@@ -127,7 +139,7 @@
                     }
                 }
                 WakeReason::Outgoing(message) => self.send(message).await,
-                WakeReason::RequestIds(bytes) => {
+                WakeReason::Exchange(bytes) => {
                     // A failure is reported by the next read.
                     let _ = self.peer.write_all(&bytes).await;
                 }
@@ -141,7 +153,10 @@
                 }
                 WakeReason::Received(_) => break,
             }
+            self.record_adopted_list();
         }
+        self.endpoint_lists.wait_until_applied().await;
+        self.record_adopted_list();
         log!(
             "hot restart: the connection to the predecessor is closed, this process may use all capacity"
         );
@@ -150,6 +165,26 @@
         self.start_serving
     }
 
+    /// Once the dispatcher has the list that the predecessor sent, this process knows as much of the
+    /// engines as the predecessor does.
+    fn record_adopted_list(&self) {
+        if self.endpoint_lists.has_applied_received() {
+            let mut lifecycle = self.shared.lifecycle.borrow_mut();
+            lifecycle.set_predecessor_list(PredecessorList::Adopted);
+        }
+    }
+
+    fn stop_expecting_list(&self) {
+        let mut lifecycle = self.shared.lifecycle.borrow_mut();
+        let is_awaited = lifecycle.predecessor_list() == PredecessorList::Awaited;
+        if is_awaited && Instant::now() >= self.list_expected_until {
+            log!(
+                "hot restart: the predecessor sends no endpoint list, waiting for the coordinator"
+            );
+            lifecycle.set_predecessor_list(PredecessorList::Unavailable);
+        }
+    }
+
     fn record_predecessor_exit(&self) {
         let mut lifecycle = self.shared.lifecycle.borrow_mut();
         lifecycle.set_predecessor(PredecessorState::None);
@@ -179,8 +214,10 @@
             WakeReason::Poll
         };
         let request_ids = &self.request_ids;
-        let request_ids = async { WakeReason::RequestIds(request_ids.next_messages().await) };
-        or(poll, or(received, or(outgoing, request_ids))).await
+        let request_ids = async { WakeReason::Exchange(request_ids.next_messages().await) };
+        let endpoint_lists = &self.endpoint_lists;
+        let lists = async { WakeReason::Exchange(endpoint_lists.next_message(self.shared).await) };
+        or(poll, or(received, or(lists, or(outgoing, request_ids)))).await
     }
 
     async fn report_ready_if_able(&mut self) {
@@ -229,6 +266,9 @@
             }
             HotRestartMessage::Connection { conn, state } => self.adopt_connection(conn, state),
             HotRestartMessage::RequestAdmitted { id } => self.request_ids.received(id).await,
+            HotRestartMessage::EndpointList { numbering, frame } => {
+                self.adopt_endpoints(numbering, &frame).await;
+            }
             HotRestartMessage::Response { conn, tag, bytes } => {
                 if let Some(client) = self.clients.get_mut(&conn) {
                     client.open_requests.remove(&tag);
@@ -240,6 +280,14 @@
         }
     }
 
+    async fn adopt_endpoints(&self, numbering: u64, frame: &[u8]) {
+        let lists = &self.endpoint_lists;
+        if lists.received(self.shared, numbering, frame).await.is_err() {
+            let mut lifecycle = self.shared.lifecycle.borrow_mut();
+            lifecycle.set_predecessor_list(PredecessorList::Unavailable);
+        }
+    }
+
     /// Starts the actor of a client connection. A message without a descriptor is ignored.
     fn adopt_connection(&mut self, conn: u64, state: TransferredConnection) {
         let Some(socket) = self.descriptors.pop_front() else {
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -3,8 +3,9 @@
 //! cannot be used, or the process shuts down meanwhile, nothing changes.
 use super::Shared;
 use super::discovery::WatchEvent;
-use super::discovery::coordinator::CoordinatorMigration;
+use super::discovery::coordinator::WatchCommand;
 use super::discovery::known_events::{KnownEventsError, parse_known};
+use super::discovery::numbering::Numbering;
 use super::dispatcher::{DispatcherEvent, Reconfiguration};
 use super::fleet::versions::settings_hash;
 use crate::class_registry::Class;
@@ -82,7 +83,7 @@
     /// The state that all actors share.
     pub shared: Rc<Shared>,
     /// The mailbox of the coordinator's watch.
-    pub coordinator: Sender<CoordinatorMigration>,
+    pub coordinator: Sender<WatchCommand>,
     /// The mailbox of the dispatcher's actor.
     pub dispatcher: Sender<DispatcherEvent>,
 }
@@ -221,7 +222,7 @@
         new: NewConfiguration<'_>,
         settings: Settings,
         classes: &[ReloadedClass],
-    ) -> CoordinatorMigration {
+    ) -> WatchCommand {
         let config = new.config;
         let limits = config.limits;
         self.shared.set_limits(limits.sockets, limits.memory_mb);
@@ -232,8 +233,10 @@
             clickhouse.apply(classes, &config.names.classes, &names);
         }
         *self.json.borrow_mut() = config.json;
-        CoordinatorMigration {
-            addr: Some(config.coordinator),
+        let numbering = Numbering::of(&new.known_events);
+        self.shared.event_numberings.add(numbering);
+        WatchCommand::Migrate {
+            addr: config.coordinator,
             known: new.known_events,
         }
     }
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -1,5 +1,6 @@
 //! The state that all actors of one process share.
 use super::contain_panic::ContainPanic;
+use super::discovery::numbering::Numberings;
 use super::{READ_BUFFER_BYTES, audit, client, fleet, hot_restart};
 use crate::audit::ActiveConfiguration;
 use crate::dispatcher::metrics::MetricsSnapshot;
@@ -40,6 +41,8 @@
     pub accepting: (Sender<()>, Receiver<()>),
     /// Where connections are transferred to in a hot restart, once the successor is ready.
     pub successor: RefCell<Option<Sender<hot_restart::TransferredItem>>>,
+    /// The sequences to which the numbers of the coordinator's events belong.
+    pub event_numberings: Numberings,
     /// Whether all engines in service support databases, as those with the ClickHouse interface do.
     pub engines_support_databases: Cell<bool>,
     /// Set if this manager shares its process with others, as the hollow nodes of the test kit do.
@@ -129,6 +132,7 @@
             lifecycle: RefCell::default(),
             accepting: async_channel::bounded(1),
             successor: RefCell::default(),
+            event_numberings: Numberings::default(),
             engines_support_databases: Cell::new(false),
             process_overrides: OnceCell::new(),
             limits: Cell::new(limits),
--- a/src/startup/hot_restart.rs
+++ b/src/startup/hot_restart.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::config::process::Config;
 use crate::frontend::jsonrpc::JsonRpc;
-use crate::lifecycle::PredecessorState;
+use crate::lifecycle::{PredecessorList, PredecessorState};
 use crate::net::client;
 use crate::net::hot_restart::{
     AdoptConnection, Predecessor, TransferredState, accept_successors, follow_predecessor,
@@ -23,6 +23,7 @@
         name: config.name.clone(),
         listeners,
         dispatcher: context.dispatcher.clone(),
+        discovery: context.discovery(),
     });
     let shared = context.shared.clone();
     let serving = context.serving.clone();
@@ -40,17 +41,19 @@
     context.shared.spawn(follow_predecessor(
         context.shared.clone(),
         context.dispatcher.clone(),
+        context.discovery(),
         transferred,
         adopt_connection(context),
         start_serving,
     ));
 }
 
-/// Takes over a drain of the predecessor, records that it shares the listeners, and reserves its
-/// share of the capacity.
+/// Takes over a drain of the predecessor, records that it shares the listeners and is about to send
+/// its endpoint list, and reserves its share of the capacity.
 fn adopt_lifecycle(context: &StartContext, transferred: &TransferredState) {
     let mut lifecycle = context.shared.lifecycle.borrow_mut();
     lifecycle.set_predecessor(PredecessorState::Serving);
+    lifecycle.set_predecessor_list(PredecessorList::Awaited);
     lifecycle.set_predecessor_share(transferred.reserved_share);
     if transferred.draining {
         lifecycle.drain(clock::read());
--- a/src/startup/mod.rs
+++ b/src/startup/mod.rs
@@ -20,16 +20,19 @@
 use crate::dispatcher::metrics::Counters;
 use crate::frontend::jsonrpc::JsonRpc;
 use crate::net::audit::AuditWriter;
-use crate::net::discovery::coordinator::CoordinatorMigration;
+use crate::net::discovery::coordinator::{self, WatchCommand};
+use crate::net::discovery::followers::Follower;
 use crate::net::discovery::known_events::parse_known;
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::fleet::membership::MembershipService;
 use crate::net::fleet::versions;
+use crate::net::hot_restart::DiscoveryChannels;
 use crate::net::reload::Reload;
 use crate::net::{self, Shared, client, dispatcher};
-use async_channel::{Receiver, Sender, bounded};
+use async_channel::{Receiver, Sender, bounded, unbounded};
 use async_io::{Async, block_on};
 use clickhouse::ClickHouseStart;
+use discovery::DiscoveryMailboxes;
 use files::ConfigurationFiles;
 use request_ids::{ProcessIdentity, RequestIds};
 use sockets::{FleetSocket, Sockets};
@@ -45,10 +48,22 @@
     incarnation: Micros,
     names: LiveNames,
     dispatcher: Sender<DispatcherEvent>,
-    coordinator: Sender<CoordinatorMigration>,
+    coordinator: Sender<WatchCommand>,
+    /// Adds followers of the endpoint list.
+    followers: Sender<Follower>,
     serving: ServingGate,
 }
 
+impl StartContext {
+    /// The channels to the actors of discovery.
+    fn discovery(&self) -> DiscoveryChannels {
+        DiscoveryChannels {
+            followers: self.followers.clone(),
+            watch: self.coordinator.clone(),
+        }
+    }
+}
+
 /// Delays the start of the frontends' listeners until this process serves.
 #[derive(Clone)]
 struct ServingGate {
@@ -92,13 +107,15 @@
 
     let dispatcher = new_dispatcher(&shared, config);
     let (events, mailbox) = bounded(dispatcher::MAILBOX_CAPACITY);
-    let (migrations, migration_mailbox) = bounded(1);
+    let (coordinator, watch_commands) = bounded(coordinator::MAILBOX_CAPACITY);
+    let (followers, new_followers) = unbounded();
     let context = StartContext {
         shared: shared.clone(),
         incarnation,
         names: Rc::new(RefCell::new(Rc::new(config.names.clone()))),
         dispatcher: events,
-        coordinator: migrations,
+        coordinator,
+        followers,
         serving: ServingGate::closed(),
     };
     if let Some(socket) = sockets.fleet {
@@ -106,7 +123,11 @@
     }
     let engines = clickhouse.as_ref().map(ClickHouseStart::engines);
     let engines = engines.unwrap_or_default();
-    discovery::start(&context, config, known_events, engines, migration_mailbox);
+    let mailboxes = DiscoveryMailboxes {
+        watch: watch_commands,
+        followers: new_followers,
+    };
+    discovery::start(&context, config, known_events, engines, mailboxes);
     if let Some(listener) = sockets.admin {
         start_admin(&shared, listener);
     }
--- a/src/testkit/coordinator.rs
+++ b/src/testkit/coordinator.rs
@@ -30,9 +30,28 @@
     shutdown: Sender<()>,
 }
 
+/// What a coordinator sends to those who watch it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speech {
+    /// Events and heartbeats.
+    #[default]
+    Speaking,
+    /// Nothing. Connections stay open.
+    Silent,
+    /// Nothing on connections that are opened from now on.
+    SilentOnNewConnections,
+    /// Heartbeats, but no events.
+    HeartbeatsOnly,
+    /// The beginning of one frame, and nothing after it.
+    PartialFrame,
+    /// Nothing: each connection is closed.
+    Closing,
+}
+
 /// The state that its connections share.
 #[derive(Default)]
 struct State {
+    speech: Cell<Speech>,
     /// The frames of the events, from [`FIRST_INDEX`] on.
     frames: RefCell<Vec<Vec<u8>>>,
     /// Incremented to close all open connections.
@@ -96,6 +115,11 @@
         frames.push(frame::encode_event(&event));
     }
 
+    /// Sets what is sent from now on.
+    pub fn set_speech(&self, speech: Speech) {
+        self.state.speech.set(speech);
+    }
+
     /// Stops sending events on the connections that are open now, which stay open.
     pub fn stall_connections(&self) {
         let stall_count = &self.state.stall_count;
@@ -137,7 +161,11 @@
     }
 }
 
-/// Sends heartbeats and the events after the number that the client sends at the start.
+/// The bytes of a frame that [`Speech::PartialFrame`] sends: the length and a part of the number.
+const PARTIAL_FRAME: [u8; 6] = [0, 0, 0, 36, 0, 0];
+
+/// Sends heartbeats and the events after the number that the client sends at the start, as far as
+/// the coordinator speaks.
 async fn serve_watch(mut stream: Async<TcpStream>, state: &State) -> io::Result<()> {
     let close_count = state.close_count.get();
     let stall_count = state.stall_count.get();
@@ -146,15 +174,34 @@
     let last_index = u64::from_be_bytes(last_index);
     let mut sent = (last_index + 1).saturating_sub(FIRST_INDEX) as usize;
     let mut polls = 0;
+    let is_silent = state.speech.get() == Speech::SilentOnNewConnections;
+    let mut partial_frame_sent = false;
     while state.close_count.get() == close_count {
-        if state.stall_count.get() == stall_count {
+        let speech = match state.speech.get() {
+            Speech::Closing => return Ok(()),
+            _ if is_silent => Speech::Silent,
+            speech => speech,
+        };
+        if speech == Speech::PartialFrame && !partial_frame_sent {
+            partial_frame_sent = true;
+            stream.write_all(&PARTIAL_FRAME).await?;
+        }
+        // Nothing can follow on a part of a frame.
+        let speech = if partial_frame_sent {
+            Speech::Silent
+        } else {
+            speech
+        };
+        let sends_events = matches!(speech, Speech::Speaking | Speech::SilentOnNewConnections);
+        if sends_events && state.stall_count.get() == stall_count {
             let frames: Vec<Vec<u8>> = state.frames.borrow().iter().skip(sent).cloned().collect();
             sent += frames.len();
             for frame in frames {
                 stream.write_all(&frame).await?;
             }
         }
-        if polls % POLLS_PER_HEARTBEAT == 0 {
+        let sends_heartbeats = sends_events || speech == Speech::HeartbeatsOnly;
+        if sends_heartbeats && polls % POLLS_PER_HEARTBEAT == 0 {
             let heartbeat = frame::encode_heartbeat(sent as u64 + 1);
             stream.write_all(&heartbeat).await?;
         }
--- a/src/testkit/scenario/daemon.rs
+++ b/src/testkit/scenario/daemon.rs
@@ -1,6 +1,7 @@
 //! Steps that control the daemon, its coordinator and its admin endpoint.
 use super::error::{StepError, expect};
 use super::{ScenarioRun, parse_number};
+use crate::testkit::coordinator::Speech;
 use crate::testkit::daemon::DaemonProcess;
 use crate::testkit::{clients, pause};
 use rustix::process::Signal;
@@ -37,6 +38,9 @@
     ExpectExited,
     CloseCoordinatorConnections,
     MigrateCoordinator,
+    SetSpeech(Speech),
+    ShutDownCoordinator,
+    StallCoordinatorConnections,
     AwaitCounter {
         name: &'a str,
         target: CounterTarget,
@@ -73,7 +77,10 @@
             ["term"] => DaemonStep::Terminate,
             ["ended"] => DaemonStep::ExpectExited,
             ["cut"] => DaemonStep::CloseCoordinatorConnections,
+            ["stall"] => DaemonStep::StallCoordinatorConnections,
             ["move"] => DaemonStep::MigrateCoordinator,
+            ["coordinator", "gone"] => DaemonStep::ShutDownCoordinator,
+            ["coordinator", speech] => DaemonStep::SetSpeech(parse_speech(speech)?),
             ["until", name, value] => DaemonStep::AwaitCounter {
                 name,
                 target: CounterTarget::parse(value)?,
@@ -94,6 +101,18 @@
     }
 }
 
+fn parse_speech(word: &str) -> Result<Speech, StepError> {
+    match word {
+        "speaking" => Ok(Speech::Speaking),
+        "silent" => Ok(Speech::Silent),
+        "silent-on-new" => Ok(Speech::SilentOnNewConnections),
+        "heartbeats" => Ok(Speech::HeartbeatsOnly),
+        "partial" => Ok(Speech::PartialFrame),
+        "closing" => Ok(Speech::Closing),
+        _ => Err(StepError::UnknownBehavior),
+    }
+}
+
 impl CounterTarget {
     fn parse(word: &str) -> Result<CounterTarget, StepError> {
         match word.strip_prefix('+') {
@@ -122,6 +141,9 @@
             DaemonStep::ExpectExited => self.expect_exited().await?,
             DaemonStep::CloseCoordinatorConnections => self.coordinator.close_connections(),
             DaemonStep::MigrateCoordinator => self.migrate_coordinator()?,
+            DaemonStep::SetSpeech(speech) => self.coordinator.set_speech(speech),
+            DaemonStep::StallCoordinatorConnections => self.coordinator.stall_connections(),
+            DaemonStep::ShutDownCoordinator => self.coordinator.shut_down(),
             DaemonStep::AwaitCounter { name, target } => self.await_counter(name, target).await?,
             DaemonStep::ExpectCounter { name, value } => self.expect_counter(name, value)?,
             DaemonStep::CallAdmin {
--- a/src/testkit/scenario/mod.rs
+++ b/src/testkit/scenario/mod.rs
@@ -25,6 +25,8 @@
 //! | `drain\|ready\|gone ENGINE` | makes the coordinator send this state of the engine: draining, ready or removed |
 //! | `down ENGINE` | simulates the end of the engine's process: its connections are reset, and new ones are refused |
 //! | `cut` | closes the coordinator's connections |
+//! | `coordinator speaking\|silent\|silent-on-new\|heartbeats\|partial\|closing\|gone` | sets what the coordinator sends: events and heartbeats, nothing, nothing on connections that are opened from now on, no events, or a part of a frame; or it closes each connection, or ends |
+//! | `stall` | sends no events on the coordinator's present connections, which stay open |
 //! | `move` | starts another coordinator, and makes the daemon reload a configuration that names it |
 //!
 //! Steps for queries:
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -11,7 +11,8 @@
 use yokelift::config::process::Names;
 use yokelift::dispatcher::Dispatcher;
 use yokelift::net::discovery::endpoint_factory::{ClickHouseEngines, endpoint_factory};
-use yokelift::net::discovery::{ListedEndpoint, WatchEvent, endpoint_list};
+use yokelift::net::discovery::endpoint_list::{self, EndpointListMailbox};
+use yokelift::net::discovery::{ListedEndpoint, WatchEvent};
 use yokelift::net::dispatcher::DispatcherEvent;
 use yokelift::net::{Shared, sleep_until};
 use yokelift::testkit::coordinator::ready_endpoint;
@@ -51,7 +52,9 @@
 fn allocated_for(engines: u32) -> isize {
     let shared = Shared::new(4_096, 1_024);
     let (dispatcher_events, received_events) = unbounded();
-    let (updates, mailbox) = bounded(endpoint_list::MAILBOX_CAPACITY);
+    let (updates, events) = bounded(endpoint_list::MAILBOX_CAPACITY);
+    let (_followers, followers) = unbounded();
+    let mailbox = EndpointListMailbox { events, followers };
     let names = Rc::new(Names {
         max_streams: 4,
         ..Names::default()
--- a/tests/unit/coordinator.rs
+++ b/tests/unit/coordinator.rs
@@ -1,6 +1,6 @@
 //! The watch of the coordinator reports each event once and in order, and reconnects when it has
 //! to.
-use super::{CoordinatorMigration, WatchError, WatchPosition, WatchReader, WatchStart, run};
+use super::{WatchCommand, WatchError, WatchPosition, WatchReader, WatchStart, run};
 use crate::dispatcher::termination::Termination;
 use crate::net::Shared;
 use crate::net::discovery::frame::{FrameError, RECORD_BYTES, decode};
@@ -109,8 +109,8 @@
     };
     shared.spawn(run(shared.clone(), start, mailbox, events, || {}));
     let watch_three_times = async {
-        let migration = CoordinatorMigration {
-            addr: Some(addr),
+        let migration = WatchCommand::Migrate {
+            addr,
             known: Vec::new(),
         };
         let _ = migrations.send(migration).await;
@@ -149,8 +149,8 @@
         backoff_seed: 9,
     };
     for addr in [old, new] {
-        let migration = CoordinatorMigration {
-            addr: Some(addr),
+        let migration = WatchCommand::Migrate {
+            addr,
             known: Vec::new(),
         };
         migrations.try_send(migration).expect("capacity");
--- a/tests/unit/endpoint_list.rs
+++ b/tests/unit/endpoint_list.rs
@@ -1,5 +1,7 @@
 //! The endpoint list: a replaced engine is reported as removed, and its actor ends.
-use super::{ClickHouseEngines, EndpointFactory, MAILBOX_CAPACITY, WatchEvent, run};
+use super::{
+    ClickHouseEngines, EndpointFactory, EndpointListMailbox, MAILBOX_CAPACITY, WatchEvent, run,
+};
 use crate::net::Shared;
 use crate::net::discovery::ListedEndpoint;
 use crate::net::dispatcher::DispatcherEvent;
@@ -66,7 +68,12 @@
 fn a_replaced_engine_is_reported_removed_and_its_actor_ends() {
     let shared = Shared::new(64, 32);
     let (dispatcher, updates) = async_channel::unbounded();
-    let (events, mailbox) = async_channel::bounded(MAILBOX_CAPACITY);
+    let (events, applied) = async_channel::bounded(MAILBOX_CAPACITY);
+    let (_followers, followers) = async_channel::unbounded();
+    let mailbox = EndpointListMailbox {
+        events: applied,
+        followers,
+    };
     let actors = StartedActors::default();
     let factory = recording_factory(&actors);
     let clickhouse = ClickHouseEngines::default();
--- a/tests/unit/lifecycle.rs
+++ b/tests/unit/lifecycle.rs
@@ -1,8 +1,8 @@
 //! The lifecycle against a model under random steps, and the guarantees that the actors depend on.
 use super::{
     ACCEPT_LINGER, CLIENT_DISCOVERY_DELAY, DRAIN_CLOSE_SPREAD, DRAIN_REJECT_DELAY,
-    HOT_RESTART_REJECT_DELAY, Lifecycle, MIN_REMAINING_WORK, PredecessorState, Stage,
-    SuccessorState,
+    HOT_RESTART_REJECT_DELAY, Lifecycle, MIN_REMAINING_WORK, PredecessorList, PredecessorState,
+    Stage, SuccessorState,
 };
 use crate::clock::{MS, Micros, SEC};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     EndpointListReceived,
+    /// What is known of the predecessor's list, by its index in [`PREDECESSOR_LISTS`].
+    PredecessorList(u8),
     Drain,
     Undrain,
     BeginShutdown,
@@ -29,9 +31,16 @@
     SuccessorState::Ready,
 ];
 
+const PREDECESSOR_LISTS: [PredecessorList; 4] = [
+    PredecessorList::NotExpected,
+    PredecessorList::Awaited,
+    PredecessorList::Unavailable,
+    PredecessorList::Adopted,
+];
+
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
-        match u8::arbitrary(g) % 11 {
+        match u8::arbitrary(g) % 12 {
             0 => Step::EndpointListReceived,
             1 => Step::Drain,
             2 => Step::Undrain,
@@ -39,6 +48,7 @@
             4 => Step::Successor(u8::arbitrary(g) % 3),
             5 => Step::PredecessorShare(u8::arbitrary(g) % 5),
             6 => Step::RemainingWork(u8::arbitrary(g) % 5),
+            7 => Step::PredecessorList(u8::arbitrary(g) % 4),
             _ => Step::WaitMillis(u16::arbitrary(g) % 3_000),
         }
     }
@@ -75,9 +85,27 @@
     }
 
     fn endpoint_list_known(&self) -> bool {
-        self.steps
+        let is_received = self
+            .steps
+            .iter()
+            .any(|(_, step)| matches!(step, Step::EndpointListReceived));
+        is_received && self.predecessor_list() != PredecessorList::Awaited
+    }
+
+    /// The last state of the predecessor's list, unless it was adopted before.
+    fn predecessor_list(&self) -> PredecessorList {
+        let lists: Vec<PredecessorList> = self
+            .steps
             .iter()
-            .any(|(_, step)| matches!(step, Step::EndpointListReceived))
+            .filter_map(|(_, step)| match step {
+                Step::PredecessorList(index) => Some(PREDECESSOR_LISTS[usize::from(*index)]),
+                _ => None,
+            })
+            .collect();
+        if lists.contains(&PredecessorList::Adopted) {
+            return PredecessorList::Adopted;
+        }
+        lists.last().copied().unwrap_or_default()
     }
 
     /// The time of the first drain since the last undrain that had an effect. An undrain after the
@@ -131,6 +159,9 @@
 fn apply(lifecycle: &mut Lifecycle, step: &Step, now: Micros) {
     match step {
         Step::EndpointListReceived => lifecycle.endpoint_list_received(),
+        Step::PredecessorList(index) => {
+            lifecycle.set_predecessor_list(PREDECESSOR_LISTS[usize::from(*index)]);
+        }
         Step::Drain => lifecycle.drain(now),
         Step::Undrain => drop(lifecycle.undrain()),
         Step::BeginShutdown => lifecycle.begin_shutdown(now),
--- a/tests/unit/net_reload.rs
+++ b/tests/unit/net_reload.rs
@@ -27,7 +27,7 @@
     folder: Folder,
     reload: Reload,
     dispatcher: Receiver<DispatcherEvent>,
-    coordinator: Receiver<CoordinatorMigration>,
+    coordinator: Receiver<WatchCommand>,
 }
 
 impl Fixture {
--- a/tests/wire_formats.rs
+++ b/tests/wire_formats.rs
@@ -278,6 +278,10 @@
         HotRestartMessage::Cancel { conn: 7, tag: 3 },
         HotRestartMessage::ClientDisconnected { conn: 8 },
         HotRestartMessage::RequestAdmitted { id: u64::MAX },
+        HotRestartMessage::EndpointList {
+            numbering: 12,
+            frame: b"frame\n".to_vec(),
+        },
     ]
 }
 
