Count only complete frames as news from the coordinator

What operators saw: a process was ready at once, without the time-out for a silent coordinator, when the coordinator stopped within its first frame. It then served with the list of its configuration, though the frame had more. In an upgrade from an earlier version, which sends no list, such a process does not wait for the coordinator as it should.

Cause: the watch reported contact after each read, whatever had been received.

Change: it reports contact once a connection has carried a complete frame. Reconnects are delayed as before.

--- a/src/net/discovery/coordinator.rs
+++ b/src/net/discovery/coordinator.rs
@@ -76,6 +76,8 @@
 pub struct WatchReader {
     position: Rc<WatchPosition>,
     input: Vec<u8>,
+    /// Whether the present connection has carried a complete frame.
+    has_frame: bool,
 }
 
 impl WatchReader {
@@ -84,6 +86,7 @@
         WatchReader {
             position,
             input: Vec::new(),
+            has_frame: false,
         }
     }
 
@@ -91,9 +94,15 @@
     /// received.
     pub fn begin_connection(&mut self) -> [u8; 8] {
         self.input.clear();
+        self.has_frame = false;
         self.position.last_index.get().to_be_bytes()
     }
 
+    /// Whether the present connection has carried a complete frame. A part of one tells nothing.
+    pub fn has_frame(&self) -> bool {
+        self.has_frame
+    }
+
     /// Decodes bytes that were received into new events; those received before are skipped.
     ///
     /// # Errors
@@ -111,6 +120,7 @@
                 Err(error) => break Err(error.into()),
             };
             used += decoded.length;
+            self.has_frame = true;
             match self.next_event(&decoded.frame) {
                 Ok(event) => events.extend(event),
                 Err(error) => break Err(error),
@@ -180,7 +190,7 @@
 }
 
 /// Runs the watch: sends events to `events`, and calls `on_contact` whenever the coordinator has
-/// sent something. After a migration it connects to the new address at once, and reads the
+/// sent something, from the first complete frame of a connection on. After a migration it connects to the new address at once, and reads the
 /// connection to the old one until it ends.
 pub async fn run<F>(
     shared: Rc<Shared>,
@@ -282,7 +292,9 @@
                 let _ = self.events.send(event).await;
             }
             contacted.set(true);
-            (self.on_contact)();
+            if reader.has_frame() {
+                (self.on_contact)();
+            }
         }
     }
 }
--- a/tests/unit/coordinator.rs
+++ b/tests/unit/coordinator.rs
@@ -5,6 +5,7 @@
 use crate::net::Shared;
 use crate::net::discovery::frame::{FrameError, RECORD_BYTES, decode};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
 use std::rc::Rc;
 
 const HEARTBEAT: u8 = 0;
@@ -134,6 +135,46 @@
     assert_eq!((requests, indexes), (vec![3, 4, 4], [4, 5]));
 }
 
+/// Guards the start against a coordinator that stops within its first frame: in a past fault the
+/// process counted as informed, and was ready without the events that the coordinator had begun to
+/// send.
+#[test]
+fn a_part_of_a_frame_is_no_news_from_the_coordinator() {
+    let shared = Shared::new(64, 64);
+    let (listener, addr) = crate::testkit::listener();
+    let (commands, mailbox) = async_channel::bounded(1);
+    let (events, reported) = async_channel::bounded(16);
+    let start = WatchStart {
+        last_index: 3,
+        backoff_seed: 9,
+    };
+    let contacts = Rc::new(Cell::new(0));
+    let counter = contacts.clone();
+    let count_contact = move || counter.set(counter.get() + 1);
+    shared.spawn(run(shared.clone(), start, mailbox, events, count_contact));
+    let watch_twice = async {
+        let migration = WatchCommand::Migrate {
+            addr,
+            known: Vec::new(),
+        };
+        let _ = commands.send(migration).await;
+        let frame = event(4, CHANGES, 1);
+        let (mut first, _) = listener.accept().await.expect("a watch");
+        let part = &frame[..frame.len() - 1];
+        first.write_all(part).await.expect("written");
+        drop(first);
+        let (mut second, _) = listener.accept().await.expect("a watch");
+        let contacts_by_part = contacts.get();
+        second.write_all(&frame).await.expect("written");
+        let index = reported.recv().await.expect("an event").index;
+        (contacts_by_part, index)
+    };
+
+    let outcome = async_io::block_on(shared.executor.run(watch_twice));
+
+    assert_eq!(outcome, (0, 4));
+}
+
 /// Guards against a fault after two migrations in quick succession: each task read the newest
 /// generation when it first ran instead of when it was spawned, so that the older address was also
 /// reconnected to, without end.
