Do not take a new member at an address for the one that had it

Cause: an ack was matched to its probe by its number alone, whoever sent it, and a request for an indirect probe, which names an address, was carried out under the first name known there.

Change: a datagram declares the other members at its source address dead. A late one of the old member is stale by then. An ack of a relayed probe counts only if its target sent it. Of several members at an address the living one is probed, and is told its state.

--- a/src/membership/swim/mod.rs
+++ b/src/membership/swim/mod.rs
@@ -257,6 +257,18 @@
         self.enqueue_gossip(name);
     }
 
+    /// The member at an address. Of several members that have had it, the one that is neither dead nor
+    /// departed, or else the one with the latest incarnation.
+    fn member_at(&self, addr: SocketAddr) -> Option<&Member> {
+        let members = self.members.values();
+        members
+            .filter(|member| member.update.addr == addr)
+            .max_by_key(|member| {
+                let update = &member.update;
+                (!update.state.is_dead_or_left(), update.incarnation)
+            })
+    }
+
     fn alive(&self) -> impl Iterator<Item = &Member> {
         self.members
             .values()
@@ -296,9 +308,8 @@
     /// starts with its own state, so that it can refute immediately.
     fn send(&mut self, to: SocketAddr, body: MessageBody, out: &mut Vec<Action>) {
         let receiver_state = self
-            .members
-            .values()
-            .find(|member| member.update.addr == to && member.update.state != MemberState::Alive)
+            .member_at(to)
+            .filter(|member| member.update.state != MemberState::Alive)
             .map(|member| member.update.clone());
         let message = Box::new(self.compose(body, receiver_state));
         out.push(Action::Send { to, message });
--- a/src/membership/swim/receive.rs
+++ b/src/membership/swim/receive.rs
@@ -28,6 +28,7 @@
             self.receive_stale(from, message, now, out);
             return;
         }
+        self.declare_displaced_dead(from, &message.from.name, now, out);
         let dissemination = match message.body {
             MessageBody::Page { .. } => Dissemination::MergeOnly,
             _ => Dissemination::Gossip,
@@ -37,7 +38,9 @@
         }
         match message.body {
             MessageBody::Ping(sequence) => self.send(from, MessageBody::Ack(sequence), out),
-            MessageBody::Ack(sequence) => self.receive_ack(sequence, now, out),
+            MessageBody::Ack(sequence) => {
+                self.receive_ack(&message.from.name, sequence, now, out);
+            }
             MessageBody::PingReq { sequence, target } => {
                 let requester = ProbeKind::Relayed {
                     requester: from,
@@ -54,6 +57,29 @@
         }
     }
 
+    /// Declares the other members at the address of a datagram's sender dead: its process has the
+    /// address now. Otherwise its acks would count for them.
+    fn declare_displaced_dead(
+        &mut self,
+        addr: SocketAddr,
+        sender: &str,
+        now: Micros,
+        out: &mut Vec<Action>,
+    ) {
+        let displaced: Vec<String> = self
+            .members
+            .values()
+            .map(|member| &member.update)
+            .filter(|update| update.addr == addr && update.name != sender)
+            .filter(|update| !update.state.is_dead_or_left())
+            .map(|update| update.name.clone())
+            .collect();
+        for name in displaced {
+            self.set_state(&name, MemberState::Dead, now, out);
+            self.cancel_own_probes(&name);
+        }
+    }
+
     /// Whether a datagram is from an earlier incarnation of its sender, or from a sender that is
     /// known as dead or departed and has not refuted that. `is_new` is whether the sender's
     /// update was merged.
@@ -100,13 +126,17 @@
         }
     }
 
-    /// Completes a probe, and forwards the ack if the probe was on behalf of another member. An ack
+    /// Completes a probe, and forwards the ack if the probe was on behalf of another member and the
+    /// ack is from its target. Acks of this manager's own probes may be forwarded by others. An ack
     /// restarts the suspicion timeout; only a refutation by the member itself ends the suspicion on
     /// all members.
-    fn receive_ack(&mut self, sequence: u32, now: Micros, out: &mut Vec<Action>) {
+    fn receive_ack(&mut self, sender: &str, sequence: u32, now: Micros, out: &mut Vec<Action>) {
         let Some(probe) = self.probes.remove(&sequence) else {
             return;
         };
+        if matches!(probe.kind, ProbeKind::Relayed { .. }) && probe.target != sender {
+            return;
+        }
         if let Some(member) = self.members.get_mut(&probe.target) {
             member.phase = DetectionPhase::Regular;
             if member.update.state == MemberState::Suspect {
@@ -131,15 +161,11 @@
         out: &mut Vec<Action>,
     ) {
         let sequence = self.next_sequence();
-        let known = self
-            .members
-            .iter()
-            .find(|(_, member)| member.update.addr == target);
-        let Some((name, _)) = known else {
+        let Some(member) = self.member_at(target) else {
             return;
         };
         let probe = PendingProbe {
-            target: name.clone(),
+            target: member.update.name.clone(),
             sent_at: now,
             kind,
         };
--- a/src/testkit/membership_simulation/mod.rs
+++ b/src/testkit/membership_simulation/mod.rs
@@ -188,6 +188,19 @@
         self.schedule_wakeup(node, self.now);
     }
 
+    /// Replaces a manager by a new one with another name, at the same address and with an empty
+    /// receive buffer.
+    pub fn replace(&mut self, node: usize, name: &str, incarnation: u64, seed: u64) {
+        let update = MemberUpdate {
+            name: name.to_owned(),
+            ..joining_update(node, incarnation)
+        };
+        let seeds = vec![member_addr(0)];
+        self.nodes[node] = Membership::new(update, self.timing.clone(), seeds, seed, self.now);
+        self.undelivered[node].clear();
+        self.schedule_wakeup(node, self.now);
+    }
+
     /// The state of `member` in the member list of `observer`; `None` if it isn't listed.
     pub fn state_of(&self, observer: usize, member: usize) -> Option<MemberState> {
         self.nodes[observer]
--- a/tests/unit/membership.rs
+++ b/tests/unit/membership.rs
@@ -189,6 +189,57 @@
     assert_eq!(known.incarnation, 1_000);
 }
 
+/// Guards against a new member at the address of one that has gone: in a past fault its acks counted
+/// for the one that had gone, which stayed alive for as long as the new one did. The clock of the new
+/// one may be behind.
+#[test]
+fn a_new_member_at_the_address_of_another_one_is_not_taken_for_it() {
+    for (seed, incarnation) in [(31, 2_000), (32, 1), (33, 0)] {
+        let mut fleet = converged_fleet(6, seed);
+        fleet.replace(3, "replacement", incarnation, 99);
+
+        fleet.run(20 * SEC);
+
+        for observer in [0, 1, 2, 4, 5] {
+            let members = fleet.nodes[observer].members();
+            let state = |name: &str| members.get(name).map(|member| member.update.state);
+            let states = (state(&member_name(3)), state("replacement"));
+            let expected = (Some(MemberState::Dead), Some(MemberState::Alive));
+            assert_eq!(states, expected, "seed {seed}, observer {observer}");
+        }
+        let replaced = fleet.death_reports(3, 0);
+        let others = changes_to(&fleet, MemberState::Dead).len() - replaced.len();
+        assert_eq!(others, 0, "seed {seed}: only the one that has gone is dead");
+    }
+}
+
+/// Guards a running member against a late datagram of the one whose address it has: it is not declared
+/// dead for long.
+#[test]
+fn a_late_datagram_of_the_earlier_member_at_an_address_does_not_displace_the_new_one() {
+    let mut fleet = converged_fleet(6, 34);
+    fleet.replace(3, "replacement", 2_000, 99);
+    fleet.run(5 * SEC);
+    let late = Message {
+        from: joining_update(3, 1),
+        body: MessageBody::Ping(1),
+        gossip: vec![],
+    };
+    for observer in [0, 1, 2, 4, 5] {
+        let now = fleet.now;
+        let mut actions = Vec::new();
+        fleet.nodes[observer].receive(member_addr(3), late.clone(), now, &mut actions);
+    }
+
+    fleet.run(5 * SEC);
+
+    for observer in [0, 1, 2, 4, 5] {
+        let replacement = fleet.nodes[observer].members().get("replacement");
+        let state = replacement.map(|member| member.update.state);
+        assert_eq!(state, Some(MemberState::Alive), "observer {observer}");
+    }
+}
+
 #[test]
 fn new_versions_of_one_member_reach_all_others() {
     let mut fleet = converged_fleet(6, 10);
