Remove an engine when another one moves to its address

Attempts for the one that is gone go to the process of the other, which gets twice its part, and its limits and breakers learn from both.

Cause: an engine that is new at an address supersedes the one that was there, as its process has ended. "New" meant an id that is not known; an id that is known at another address and moves there did not supersede.

Change: what counts is whether the engine was at that address before. Engines that the same event lists stay, so two engines may exchange their addresses.

Measured: an_engine_that_moves_to_the_address_of_another_one_displaces_it failed before ("left: [(1, Ready)], right: [(1, Ready), (2, Removed)]") and passes.

--- a/src/net/discovery/endpoint_list.rs
+++ b/src/net/discovery/endpoint_list.rs
@@ -158,15 +158,15 @@
         new_handles
     }
 
-    /// Returns the known endpoints at whose address the event lists a new engine, with their
-    /// readiness set to [`Readiness::Removed`]: their processes have ended, even if the event does
-    /// not list them. Otherwise commands for the old process would go to the new one.
+    /// Returns the known endpoints at whose address the event lists an engine that was not there
+    /// before, with their readiness set to [`Readiness::Removed`]: their processes have ended, even if
+    /// the event does not list them. Otherwise commands for the old process would go to the new one.
     fn superseded_by(&self, event: &WatchEvent) -> Vec<ListedEndpoint> {
         let listed_ids = ids(&event.endpoints);
         let reused_addrs: BTreeSet<SocketAddr> = event
             .endpoints
             .iter()
-            .filter(|listed| self.is_new_and_ready(listed))
+            .filter(|listed| self.is_new_there_and_ready(listed))
             .map(|listed| listed.addr)
             .collect();
         self.known
@@ -187,9 +187,12 @@
         }
     }
 
-    fn is_new_and_ready(&self, listed: &ListedEndpoint) -> bool {
+    /// Whether it is ready at an address where it was not before.
+    fn is_new_there_and_ready(&self, listed: &ListedEndpoint) -> bool {
         let is_ready = listed.endpoint.readiness == Readiness::Ready;
-        is_ready && !self.known.contains_key(&listed.endpoint.id)
+        let known = self.known.get(&listed.endpoint.id);
+        let was_there = known.is_some_and(|known| known.listed.addr == listed.addr);
+        is_ready && !was_there
     }
 
     /// Marks the endpoints that a complete list does not contain as removed.
--- a/tests/unit/endpoint_list.rs
+++ b/tests/unit/endpoint_list.rs
@@ -62,6 +62,70 @@
     }
 }
 
+/// Applies events; returns the readiness that each of them reports of the engines, by their ids.
+fn reported(events: Vec<WatchEvent>) -> Vec<Vec<(u64, Readiness)>> {
+    let shared = Shared::new(64, 32);
+    let (dispatcher, updates) = async_channel::unbounded();
+    let (sender, applied) = async_channel::bounded(MAILBOX_CAPACITY);
+    let (_followers, followers) = async_channel::unbounded();
+    let mailbox = EndpointListMailbox {
+        events: applied,
+        followers,
+    };
+    let actors = StartedActors::default();
+    let list = run(
+        shared.clone(),
+        dispatcher,
+        mailbox,
+        recording_factory(&actors),
+        ClickHouseEngines::default(),
+    );
+    for event in events {
+        sender.try_send(event).expect("capacity");
+    }
+    drop(sender);
+    async_io::block_on(shared.executor.run(list));
+    let entries = |event: DispatcherEvent| match event {
+        DispatcherEvent::EndpointList(update) => update.entries,
+        _ => Vec::new(),
+    };
+    std::iter::from_fn(|| updates.try_recv().ok())
+        .map(|event| {
+            let entries = entries(event).into_iter();
+            entries.map(|entry| (entry.id.0, entry.readiness)).collect()
+        })
+        .collect()
+}
+
+/// Guards against two engines at one address: in a past fault an engine that moved to the address of
+/// another one left that one in service, and its attempts went to the process that had moved. Engines
+/// that exchange their addresses both stay.
+#[test]
+fn an_engine_that_moves_to_the_address_of_another_one_displaces_it() {
+    use Readiness::{Draining, Ready, Removed};
+    let event = |index, full, endpoints| WatchEvent {
+        index,
+        full,
+        endpoints,
+    };
+    let first = event(
+        1,
+        true,
+        vec![listed(1, 1_001, Ready), listed(2, 1_002, Ready)],
+    );
+    let moved = event(2, false, vec![listed(1, 1_002, Ready)]);
+    let moved_to_drain = event(2, false, vec![listed(1, 1_002, Draining)]);
+    let exchanged = vec![listed(1, 1_002, Ready), listed(2, 1_001, Ready)];
+    let exchanged = event(2, false, exchanged);
+    let repeated = event(2, false, vec![listed(1, 1_001, Ready)]);
+    let second_report = |second: WatchEvent| reported(vec![first.clone(), second]).remove(1);
+
+    assert_eq!(second_report(moved), [(1, Ready), (2, Removed)]);
+    assert_eq!(second_report(moved_to_drain), [(1, Draining)]);
+    assert_eq!(second_report(exchanged), [(1, Ready), (2, Ready)]);
+    assert_eq!(second_report(repeated), [(1, Ready)]);
+}
+
 /// Guards the limits on memory and descriptors, and the drain rule, where engines are replaced all
 /// the time.
 #[test]
