Leave listeners open that an unconnected process of a chain accepts from

Cause: a process knew of others that accept from its listeners by its sessions alone, and the outer two of the chain have none with each other.

Evidence: "accepting a client connection failed: Invalid argument" in the log of the process that is left: its listener was shut down elsewhere.

Change: a process that accepts publishes a claim on each listener, named after the listener's inode. One that stops accepting withdraws its claims, and leaves a listener open that another process claims. Only with an admin endpoint, without which listeners are not passed on.

The tests of the list use a true chain now: without a pause the third process connects to the first one.

--- a/src/net/address_claim.rs
+++ b/src/net/address_claim.rs
@@ -127,18 +127,40 @@
             process: std::process::id(),
             manager: manager.clone(),
         };
-        let name = SocketAddrUnix::new_abstract_name(claimant.socket_name(address).as_bytes())?;
-        let socket = rustix::net::socket_with(
-            AddressFamily::UNIX,
-            SocketType::DGRAM,
-            SocketFlags::CLOEXEC,
-            None,
-        )?;
-        rustix::net::bind(&socket, &name)?;
+        let socket = bind_abstract_name(&claimant.socket_name(address))?;
         Ok(AddressClaim { _socket: socket })
     }
 }
 
+/// Binds an abstract Unix socket, whose name [`claimed_names`] lists until the socket is closed.
+///
+/// # Errors
+/// Errors of the system calls.
+pub(super) fn bind_abstract_name(name: &str) -> rustix::io::Result<OwnedFd> {
+    let name = SocketAddrUnix::new_abstract_name(name.as_bytes())?;
+    let socket = rustix::net::socket_with(
+        AddressFamily::UNIX,
+        SocketType::DGRAM,
+        SocketFlags::CLOEXEC,
+        None,
+    )?;
+    rustix::net::bind(&socket, &name)?;
+    Ok(socket)
+}
+
+/// The names of all abstract Unix sockets of this network namespace; none if they can't be read.
+pub(super) fn claimed_names() -> Vec<String> {
+    let unix_sockets = std::fs::read_to_string(UNIX_SOCKETS_FILE).unwrap_or_default();
+    abstract_names(&unix_sockets).map(str::to_owned).collect()
+}
+
+/// The names of abstract sockets in the lines of [`UNIX_SOCKETS_FILE`].
+fn abstract_names(unix_sockets: &str) -> impl Iterator<Item = &str> {
+    unix_sockets
+        .lines()
+        .filter_map(|line| line.split_ascii_whitespace().last()?.strip_prefix('@'))
+}
+
 /// The process that holds an address that is in use.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AddressHolder {
@@ -172,9 +194,7 @@
     manager: &ManagerIdentity,
     own_process: u32,
 ) -> AddressHolder {
-    let claimants = unix_sockets
-        .lines()
-        .filter_map(|line| line.split_ascii_whitespace().last()?.strip_prefix('@'))
+    let claimants = abstract_names(unix_sockets)
         .filter_map(|name| Claimant::parse(name, address))
         .filter(|claimant| claimant.process != own_process);
     let mut holder = AddressHolder::Unknown;
--- a/src/net/client/listener.rs
+++ b/src/net/client/listener.rs
@@ -1,6 +1,7 @@
 //! The listeners of the client frontends.
+use super::accept_claim::AcceptClaim;
 use super::connection_registry::shed_idle_connection;
-use super::listener_close::{accept_backlog, close_listener, wait_until_not_shared};
+use super::listener_close::{AcceptedElsewhere, accept_backlog, close_listener};
 use super::start;
 use crate::frontend::Frontend;
 use crate::log;
@@ -86,6 +87,7 @@
             None,
         );
     };
+    let claim = claim_listener(&shared, &listener);
     let mut incoming = Box::pin(listener.incoming());
     loop {
         let stopped = async {
@@ -112,20 +114,38 @@
         wait_for_client_socket(&shared).await;
     }
     drop(incoming);
+    // Of two processes that stop accepting at once, the one that withdraws its claim last finds none.
+    drop(claim);
+    let mut accepted_elsewhere = AcceptedElsewhere::check(&shared, &listener);
     if !other_process_accepts(&shared) {
         accept_backlog(&shared, &listener, &serve).await;
     }
-    if shared.lifecycle.borrow().shares_listeners() {
+    if shared.listeners_are_shared() {
         drop(listening);
-        wait_until_not_shared(&shared).await;
+        accepted_elsewhere.wait_until_not_shared().await;
     }
     close_listener(&shared, &listener, &serve).await;
 }
 
+/// Publishes that this process accepts from the listener, if listeners can be passed on: a hot restart
+/// requires an admin endpoint.
+fn claim_listener(shared: &Shared, listener: &Async<TcpListener>) -> Option<AcceptClaim> {
+    if !shared.admin_enabled.get() {
+        return None;
+    }
+    AcceptClaim::publish(listener)
+        .inspect_err(|error| {
+            log!("can't publish that this process accepts clients, others may close its listener: {error}");
+        })
+        .ok()
+}
+
 /// Whether another process accepts from the same backlogs now.
 fn other_process_accepts(shared: &Shared) -> bool {
     let lifecycle = shared.lifecycle.borrow();
-    lifecycle.successor_took_over() || lifecycle.has_serving_predecessor()
+    lifecycle.successor_took_over()
+        || lifecycle.has_serving_predecessor()
+        || shared.listeners_accepted_elsewhere.get() > 0
 }
 
 /// Waits while the limit on client sockets is reached, and sheds idle connections.
--- a/src/net/client/listener_close.rs
+++ b/src/net/client/listener_close.rs
@@ -1,9 +1,11 @@
 //! The close of a listener: the connections in its backlog are accepted, and from then on the
-//! system refuses connections, also for other processes that share the listener. Otherwise the system would continue to complete connections that no
-//! process accepts, and reset them when the process exits.
+//! system refuses connections, also for other processes that share the listener. Otherwise the
+//! system would continue to complete connections that no process accepts, and reset them when the
+//! process exits.
+use super::accept_claim::is_accepted_elsewhere;
 use super::connection_registry::shed_idle_connection;
 use crate::log;
-use crate::net::Shared;
+use crate::net::{CountGuard, Shared};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use socket2::{SockFilter, SockRef};
@@ -16,6 +18,8 @@
 const HANDSHAKE_GRACE_PERIOD: Duration = Duration::from_millis(1);
 /// The interval at which a listener checks whether another process still shares it.
 const SHARING_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// The interval at which the claims of other processes are read again.
+const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// The interval at which accepting from the backlog is retried while no descriptor is free.
 const DESCRIPTOR_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -58,10 +62,49 @@
     ]
 }
 
-/// Waits until no process that accepts connections shares the listener.
-pub(super) async fn wait_until_not_shared(shared: &Shared) {
-    while shared.lifecycle.borrow().shares_listeners() {
-        Timer::after(SHARING_POLL_INTERVAL).await;
+/// Counts a listener in [`Shared::listeners_accepted_elsewhere`] while a process that is not connected
+/// to this one claims that it accepts from it.
+pub(super) struct AcceptedElsewhere<'a> {
+    shared: &'a Shared,
+    listener: &'a Async<TcpListener>,
+    count: Option<CountGuard>,
+}
+
+impl<'a> AcceptedElsewhere<'a> {
+    /// Looks for such a claim.
+    pub(super) fn check(
+        shared: &'a Shared,
+        listener: &'a Async<TcpListener>,
+    ) -> AcceptedElsewhere<'a> {
+        let mut accepted = AcceptedElsewhere {
+            shared,
+            listener,
+            count: None,
+        };
+        accepted.update();
+        accepted
+    }
+
+    fn update(&mut self) {
+        let is_accepted = self.shared.admin_enabled.get() && is_accepted_elsewhere(self.listener);
+        self.count =
+            is_accepted.then(|| CountGuard::new(&self.shared.listeners_accepted_elsewhere));
+    }
+
+    /// Waits until no process that accepts connections shares the listener.
+    pub(super) async fn wait_until_not_shared(&mut self) {
+        while self.shared.listeners_are_shared() {
+            let is_claimed = self.count.is_some();
+            let interval = if is_claimed {
+                CLAIM_POLL_INTERVAL
+            } else {
+                SHARING_POLL_INTERVAL
+            };
+            Timer::after(interval).await;
+            if is_claimed {
+                self.update();
+            }
+        }
     }
 }
 
@@ -110,7 +153,7 @@
 /// Counts the connections in the backlogs of this process's listeners that its exit would reset, by
 /// accepting them. Connections that another process will accept do not count.
 pub fn count_unaccepted(shared: &Shared) -> usize {
-    if shared.lifecycle.borrow().shares_listeners() {
+    if shared.listeners_are_shared() {
         return 0;
     }
     let listeners = shared.listeners.borrow();
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -1,4 +1,5 @@
 //! The client side: the listeners of the frontends, and the actor of each client connection.
+mod accept_claim;
 mod buffers;
 mod connection;
 mod connection_registry;
--- a/src/net/dispatcher/shutdown.rs
+++ b/src/net/dispatcher/shutdown.rs
@@ -133,6 +133,6 @@
     /// Whether no connection can remain unaccepted in a backlog: the listeners are closed, or
     /// another process accepts.
     fn backlogs_are_handled(&self) -> bool {
-        self.shared.open_listeners.get() == 0 || self.shared.lifecycle.borrow().shares_listeners()
+        self.shared.open_listeners.get() == 0 || self.shared.listeners_are_shared()
     }
 }
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -71,6 +71,9 @@
     pub open_listeners: Rc<Cell<usize>>,
     /// The listeners of clients.
     pub listeners: RefCell<Vec<Weak<Async<TcpListener>>>>,
+    /// Listeners that this process has stopped to accept from, and from which a process that is not
+    /// connected to it accepts: one at the other end of a chain of hot restarts.
+    pub listeners_accepted_elsewhere: Rc<Cell<usize>>,
     /// Whether the listeners are closed or about to be, so that they can no longer be passed to a
     /// successor.
     pub listeners_closing: Cell<bool>,
@@ -146,6 +149,7 @@
             listening: Rc::default(),
             open_listeners: Rc::default(),
             listeners: RefCell::default(),
+            listeners_accepted_elsewhere: Rc::default(),
             listeners_closing: Cell::new(false),
             connections_with_unwritten_output: Rc::default(),
             requests_at_predecessor: Rc::default(),
@@ -205,6 +209,11 @@
         self.max_unread_bytes.set(max_bytes);
     }
 
+    /// Whether another process accepts from the listeners, so that this one must not close them.
+    pub fn listeners_are_shared(&self) -> bool {
+        self.lifecycle.borrow().shares_listeners() || self.listeners_accepted_elsewhere.get() > 0
+    }
+
     /// Makes the listeners stop accepting connections, for good.
     pub fn stop_accepting(&self) {
         self.accepting.0.close();
--- a/tests/hot_restart_endpoint_list.rs
+++ b/tests/hot_restart_endpoint_list.rs
@@ -47,12 +47,14 @@
 }
 
 /// Guards the same in a chain of three processes: all of them serve, the middle one is killed, or the
-/// two older ones are asked to stop one after the other.
+/// two older ones are asked to stop one after the other. The pause lets the second process accept
+/// successors, which it does shortly after it is ready.
 #[test]
 fn the_list_passes_through_a_chain_of_three_processes() {
     for chain in [
-        "follow\nfollow\n",
-        "follow\nfollow\nkill older\n",
+        "follow\nwait 200\nfollow\n",
+        "follow\nwait 200\nfollow\nkill older\n",
+        "follow\nwait 200\nfollow\nretire\nretired\nretire\nretired\n",
         "follow\nretire\nfollow\nretire\nretired\nretired\n",
     ] {
         run_scenario(&format!(
@@ -66,7 +68,7 @@
 /// have begun to serve.
 #[test]
 fn an_event_that_only_the_oldest_process_hears_reaches_the_newer_ones() {
-    for successors in ["follow\n", "follow\nfollow\n"] {
+    for successors in ["follow\n", "follow\nwait 200\nfollow\n"] {
         run_scenario(&format!(
             "engine one platform\nengine two platform\nengine three platform\nconsole\nstart\n\
             coordinator silent-on-new\n{successors}drain one\ngone three\nfigure targets 2\nwait 350\n{}",
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -213,6 +213,37 @@
     }
 }
 
+/// Guards clients in a chain of three processes whose middle one ends first, so that the outer two do
+/// not know of each other: in a past fault whichever of them ended next closed the listener for both,
+/// and the last one said that it was ready and refused every connection.
+#[test]
+fn one_of_three_processes_serves_whichever_of_the_others_end() {
+    let middle_ends = ["retire\nretired\n", "kill older\n"];
+    let newest_serves = ["retire\nretired\n", "kill older\n"];
+    for middle in middle_ends {
+        for oldest in newest_serves {
+            run_three_processes(&format!("{middle}{oldest}"));
+        }
+    }
+    for middle in middle_ends {
+        for newest in ["term\nreverted\n", "kill newer\n"] {
+            run_three_processes(&format!("{middle}{newest}"));
+        }
+    }
+    run_three_processes("term\nreverted\nterm\nreverted\n");
+}
+
+/// Runs the events in a chain of three processes that serve, of which one is left in the end. Each
+/// process accepts successors shortly after it is ready.
+fn run_three_processes(events: &str) {
+    run_scenario(&format!(
+        "engine one platform\nconsole\nstart\nfollow\nwait 200\nfollow\nwait 200\n{events}wait 100\n\
+        call GET /ready 200\n\
+        ask a rpc lookup billing-desk 9000 SELECT 1\nexpect a served\n\
+        ask b rpc lookup billing-desk 9000 SELECT 1\nexpect b served\nterm\nended\ncounter open 0"
+    ));
+}
+
 /// Guards against processes that wait for each other when both are asked to stop.
 #[test]
 fn two_processes_that_are_both_asked_to_stop_exit_in_either_order() {
