Never complete a message that was answered before its end

Cause: a retry was sent on the connection whose engine had rejected its request before; a late copy of that rejection ended the retry while its last bytes were held back; and these were written after the attempt had counted as never run.

Evidence: the record has the refusal at 637 ms and the load whole at the engine at 639 ms.

Change: an answer before the last byte of an attempt's command is written closes the connection, drops the rest of the command, and the attempt counts as never run, on both interfaces. A request whose attempt ended without a result is not retried on the same connection. The model of the connection expected such an answer to end the attempt by what it says, which was wrong; it expects the close now, and no weaker anything else.

Two new tests and the model failed before and pass.

--- a/src/backend/connection_state/abandoned_requests.rs
+++ b/src/backend/connection_state/abandoned_requests.rs
@@ -5,8 +5,8 @@
 /// Limit on the requests that are kept; the oldest are removed first.
 const MAX_ABANDONED_REQUESTS: usize = 256;
 
-/// The requests whose attempt on the connection was sent and then failed or was cancelled, the
-/// oldest first.
+/// The requests whose attempt on the connection was sent and ended without a result, the oldest
+/// first.
 #[derive(Default)]
 pub(super) struct AbandonedRequests {
     requests: VecDeque<RequestId>,
--- a/src/backend/connection_state/mod.rs
+++ b/src/backend/connection_state/mod.rs
@@ -83,9 +83,9 @@
         self.pending.keys().copied()
     }
 
-    /// Requests with an attempt on this connection that was sent and then failed or was cancelled.
-    /// A retry needs another connection: a late message about the earlier attempt, such as an error
-    /// for each requested page, would be taken for the end of the retry.
+    /// Requests with an attempt on this connection that was sent and ended without a result. A retry
+    /// needs another connection: a late message about the earlier attempt, such as an error for each
+    /// requested page or a second copy of a rejection, would be taken for the end of the retry.
     pub fn abandoned_requests(&self) -> impl Iterator<Item = RequestId> {
         self.abandoned_requests.iter()
     }
@@ -149,11 +149,7 @@
     fn end_attempt(&mut self, now: Micros, end: AttemptEnd) -> Option<ConnectionEvent> {
         let pending = self.pending.remove(&end.id)?;
         self.idle_since = now;
-        let ended_cleanly = matches!(
-            end.termination,
-            Termination::Done | Termination::Rejected | Termination::AlreadyFinished
-        );
-        if !ended_cleanly && !pending.is_unsent() {
+        if end.termination != Termination::Done && !pending.is_unsent() {
             self.abandoned_requests.record(end.id);
         }
         Some(ConnectionEvent::AttemptEnded(AttemptResult {
@@ -360,19 +356,18 @@
         }
     }
 
-    /// Replaces the end of an attempt that the engine cannot have responded to: nothing of it was
-    /// written yet, or it is said to be done while its last bytes are held back. The response
-    /// belongs to an earlier request, and nothing that follows it can be trusted.
+    /// Replaces the end of an attempt that the engine cannot have responded to, as the end of its
+    /// message is not written. The response belongs to an earlier attempt, and nothing that follows
+    /// it can be trusted. The rest of the message is never written, so the attempt does not run.
     fn reject_premature(&mut self, end: AttemptEnd) -> AttemptEnd {
-        let progress = self.pending.get(&end.id).map(|pending| pending.progress);
-        let is_premature = match progress {
-            Some(TransmitProgress::Unsent) => true,
-            Some(TransmitProgress::Partial) => end.termination == Termination::Done,
-            Some(TransmitProgress::Complete) | None => false,
-        };
-        if !is_premature {
+        let pending = self.pending.get_mut(&end.id);
+        let Some(pending) = pending.filter(|_| self.output.contains_attempt(end.id)) else {
             return end;
+        };
+        if !pending.is_unsent() {
+            pending.progress = TransmitProgress::Partial;
         }
+        self.output.remove_attempt(end.id);
         self.close_unless_closing(Termination::ProtocolViolation);
         AttemptEnd::without_result(end.id, Termination::ProtocolViolation)
     }
--- a/src/backend/connection_state/output_queue.rs
+++ b/src/backend/connection_state/output_queue.rs
@@ -82,7 +82,15 @@
         });
     }
 
-    /// Removes the command that starts an attempt. Only valid before its first byte is written.
+    /// Whether a part of the command that starts an attempt is not written.
+    pub(super) fn contains_attempt(&self, id: RequestId) -> bool {
+        self.segments
+            .iter()
+            .any(|segment| segment.kind.attempt() == Some(id))
+    }
+
+    /// Removes what is not written of the command that starts an attempt. Once its first byte is
+    /// written, nothing may be written to the connection after that.
     pub(super) fn remove_attempt(&mut self, id: RequestId) {
         self.segments
             .retain(|segment| segment.kind.attempt() != Some(id));
--- a/tests/unit/connection_state.rs
+++ b/tests/unit/connection_state.rs
@@ -110,13 +110,17 @@
 #[derive(Clone, Debug, Default)]
 struct ModelAttempt {
     first_byte_written: bool,
+    /// Whether it got a response before its command was completely written.
+    answered_early: bool,
     cancelled_at: Option<Micros>,
     drained: bool,
 }
 
 impl ModelAttempt {
     fn progress(&self) -> TransmitProgress {
-        if self.first_byte_written {
+        if self.answered_early {
+            TransmitProgress::Partial
+        } else if self.first_byte_written {
             TransmitProgress::Complete
         } else {
             TransmitProgress::Unsent
@@ -127,6 +131,9 @@
     /// is being closed.
     fn may_end(&self, termination: Termination, response: Option<&str>, closing: bool) -> bool {
         match (termination, response) {
+            (termination, Some(_)) if self.answered_early => {
+                termination == Termination::ProtocolViolation
+            }
             (Termination::Done, Some("DONE"))
             | (Termination::Rejected, Some("WAIT"))
             | (Termination::EngineError, Some("BROK"))
@@ -160,6 +167,8 @@
     written: Vec<u8>,
     /// Number of commands starting an attempt of which at least one byte was written.
     commands_started: usize,
+    /// Whether an early response has closed the connection.
+    closed: bool,
 }
 
 impl Model {
@@ -172,6 +181,7 @@
             started: 0,
             written: Vec::new(),
             commands_started: 0,
+            closed: false,
         }
     }
 
@@ -208,6 +218,9 @@
     }
 
     fn step(&mut self, step: &Step) -> Result<(), String> {
+        if self.closed {
+            return Ok(());
+        }
         let mut events = Vec::new();
         let mut response = None;
         match step {
@@ -225,7 +238,9 @@
             return Err("an unsent attempt remains after a drain".into());
         }
         match close_reason {
-            None | Some(Termination::Dropped) => Ok(()),
+            Some(Termination::ProtocolViolation) if self.closed => Ok(()),
+            None | Some(Termination::Dropped) if !self.closed => Ok(()),
+            None => Err("an early response did not close the connection".into()),
             Some(reason) => Err(format!("the connection closes: {reason:?}")),
         }
     }
@@ -278,7 +293,15 @@
         Ok(())
     }
 
-    /// Delivers a response to an attempt that was sent, in two pieces. A response to a cancelled
+    /// Whether the last byte of the attempt's command was written.
+    fn is_completely_written(&self, id: u32) -> bool {
+        let text = String::from_utf8_lossy(&self.written);
+        let command = text.split_once(&format!("do {id:016x} "));
+        command.is_some_and(|(_, rest)| rest.contains("\r\nselect\r\n"))
+    }
+
+    /// Delivers a response to an attempt that was sent, in two pieces. If its command is not written
+    /// to its end, the response is not the attempt's, and the connection is closed. A response to a cancelled
     /// attempt has no effect, as the protocol has already removed the attempt.
     fn respond(
         &mut self,
@@ -292,6 +315,11 @@
             return None;
         }
         let cancelled = expected.cancelled_at.is_some();
+        if !cancelled && !self.is_completely_written(id) {
+            self.closed = true;
+            let expected = self.in_flight.get_mut(&id).expect("an attempt in flight");
+            expected.answered_early = true;
+        }
         let message = format!("{id:016x} {text}\r\na\tb\tc\n\r\n");
         let split_at = usize::from(index) % message.len();
         let (first, second) = message.as_bytes().split_at(split_at);
@@ -474,6 +502,57 @@
     }
 }
 
+/// Guards loads against a run after they were reported as refused: in a past fault a late copy of an
+/// earlier rejection ended an attempt whose last bytes were held back, and they were written all the
+/// same. No answer ends an attempt before the end of its message is written, and that end is never
+/// written after it.
+#[test]
+fn a_message_that_is_answered_before_its_end_is_never_completed() {
+    for answer in ["WAIT - 0", "PAST - 0", "BROKE - 0", "DONE sheets=1 0"] {
+        let mut connection = new_connection(0);
+        let request = AttemptRequest {
+            must_not_repeat: true,
+            ..attempt(1, "k1", 9_000 * MS)
+        };
+        connection.start_attempt(0, &request);
+        write_all(&mut connection, 0);
+        let mut events = Vec::new();
+
+        let message = format!("k1 {answer}\r\n\r\n");
+        connection.receive(MS, message.as_bytes(), &mut events);
+        connection.on_timeout(2 * TAIL_HOLD_MICROS, &mut events);
+
+        let result = only_result(&events);
+        assert!(never_ran(outcome(result.termination, result.progress)));
+        assert_eq!(result.termination, Termination::ProtocolViolation);
+        let close_reason = connection.close_reason();
+        assert_eq!(close_reason, Some(Termination::ProtocolViolation));
+        assert!(write_all(&mut connection, 2 * TAIL_HOLD_MICROS).is_empty());
+    }
+}
+
+/// Guards retries against late copies of the rejection of an earlier attempt: they are not sent on the
+/// connection that has carried it.
+#[test]
+fn a_request_that_was_rejected_is_not_retried_on_the_same_connection() {
+    for (answer, termination) in [
+        ("WAIT - 0", Termination::Rejected),
+        ("PAST - 0", Termination::AlreadyFinished),
+    ] {
+        let mut connection = connection_with_two_attempts();
+        let mut events = Vec::new();
+
+        let message = format!("k1 {answer}\r\n\r\n");
+        connection.receive(MS, message.as_bytes(), &mut events);
+        connection.receive(MS, b"k2 DONE sheets=1 0\r\n\r\n", &mut events);
+
+        assert_eq!(ended_attempts(&events)[0].termination, termination);
+        let abandoned: Vec<RequestId> = connection.abandoned_requests().collect();
+        assert_eq!(abandoned, [RequestId(1)]);
+        assert_eq!(connection.close_reason(), None);
+    }
+}
+
 /// The idempotency key, the memory grant and the priority must be encoded in the command as the
 /// protocol requires. A change of priority follows the command, and the cost is read from the
 /// response.
