Reuse HTTP connections to engines only where a second answer would be noticed

Cause: responses over HTTP belong to requests by their order alone, unless they name their query. The copy of one without a name, which came after the next statement was written, was taken for that statement's response.

Change: a connection is reused after a response that names its query, or after the response to a ping if the engine has named the query of a result there, as the copy of the ping's answer would then be refused. Otherwise it is closed. The test kit's engines name the queries of their results now, as engines of this interface do.

The test that a connection is free after a ping on a new connection was wrong by this: it now checks that such a connection is closed, and that one with a named result is free. The test of waiting connections has a named result in place of one without.

Measured: the new test and the changed one fail on the code before and pass; the unit tests (313), operations (19), scenarios (30), shutdown (4) and the short soak (6) pass.

--- a/src/backend/clickhouse/mod.rs
+++ b/src/backend/clickhouse/mod.rs
@@ -45,6 +45,8 @@
 struct PendingResponse {
     head: Head,
     body: Body,
+    /// Whether it has the identifier of its query.
+    identified: bool,
 }
 
 /// Result of reading the head of a response.
@@ -142,31 +144,48 @@
         let body = head
             .body_framing(default_body)
             .map_err(|_| ProtocolError::Violation)?;
-        self.check_query_id(&head)?;
+        let identified = self.check_query_id(&head)?;
         if matches!(body, Body::Length(length) if length > MAX_RESPONSE_BYTES as u64) {
             return Err(self.reject_large_response(output));
         }
-        self.response = Some(PendingResponse { head, body });
+        self.response = Some(PendingResponse {
+            head,
+            body,
+            identified,
+        });
         Ok(HeadStatus::Final)
     }
 
     /// Detects a duplicate response, or one to an earlier request. An engine that has identified a
     /// response by [`QUERY_ID_HEADER`] identifies all results; its exceptions may lack the header,
-    /// and other engines never send it.
-    fn check_query_id(&mut self, head: &Head) -> Result<(), ProtocolError> {
+    /// and other engines never send it. Returns whether the response is identified.
+    fn check_query_id(&mut self, head: &Head) -> Result<bool, ProtocolError> {
         let Some(Exchange::Query { query_id, .. }) = &self.exchange else {
-            return Ok(());
+            return Ok(false);
         };
         let [_, status, _] = &head.start_line;
         match head.field(QUERY_ID_HEADER) {
-            Some(found) if *found == **query_id => self.identifies_responses = true,
-            Some(_) => return Err(ProtocolError::Violation),
+            Some(found) if *found == **query_id => {
+                self.identifies_responses = true;
+                Ok(true)
+            }
+            Some(_) => Err(ProtocolError::Violation),
             None if self.identifies_responses && status == SUCCESS_STATUS => {
-                return Err(ProtocolError::Violation);
+                Err(ProtocolError::Violation)
             }
-            None => {}
+            None => Ok(false),
+        }
+    }
+
+    /// Whether a second copy of a response that has just been received would be noticed if it came
+    /// after the next query was written. Otherwise it would be taken for the response to that query,
+    /// so the connection must not be reused.
+    fn would_notice_copy(&self, identified: bool) -> bool {
+        match &self.exchange {
+            // Its copy has status 200 and no identifier.
+            Some(Exchange::Ping(_)) => self.identifies_responses,
+            _ => identified,
         }
-        Ok(())
     }
 
     /// Reads the body of a response from the input. Returns whether the body is complete.
@@ -198,13 +217,16 @@
 
     /// Ends the exchange with its complete response.
     fn complete_response(&mut self, output: &mut ProtocolOutput) {
-        let Some(PendingResponse { head, .. }) = self.response.take() else {
+        let Some(PendingResponse {
+            head, identified, ..
+        }) = self.response.take()
+        else {
             return;
         };
         self.partial_response_at = None;
         let rows = std::mem::take(&mut self.rows);
         let [version, status, _] = &head.start_line;
-        self.reusable &= head.keeps_alive(version);
+        self.reusable &= head.keeps_alive(version) && self.would_notice_copy(identified);
         let success = status == SUCCESS_STATUS;
         match self.exchange.take() {
             Some(Exchange::Query { id, .. }) => {
--- a/src/testkit/engines/clickhouse.rs
+++ b/src/testkit/engines/clickhouse.rs
@@ -34,7 +34,12 @@
         let run = state
             .log
             .record_start(&state.name, &query_id, &body, fields);
-        let query = Query { state, stream, run };
+        let query = Query {
+            state,
+            stream,
+            run,
+            query_id,
+        };
         if query.run(state.next_behavior()).await == AfterQuery::Close {
             break;
         }
@@ -54,6 +59,7 @@
     state: &'a EngineState,
     stream: &'a Stream,
     run: RunId,
+    query_id: String,
 }
 
 impl Query<'_> {
@@ -116,8 +122,8 @@
             return AfterQuery::Close;
         }
         let rows = rows(&self.state.log.run(self.run).query, row_count);
-        self.finish(RunOutcome::Responded, &chunked_response(&rows))
-            .await;
+        let response = chunked_response(&rows, &self.query_id);
+        self.finish(RunOutcome::Responded, &response).await;
         AfterQuery::Continue
     }
 
@@ -142,9 +148,11 @@
     response(status, &headers, &body)
 }
 
-fn chunked_response(rows: &str) -> Vec<u8> {
+/// A result, which names its query as engines of this interface do. Exceptions may lack the name.
+fn chunked_response(rows: &str, query_id: &str) -> Vec<u8> {
     let headers = "Transfer-Encoding: chunked\r\nX-ClickHouse-Format: TabSeparated\r\n";
-    let mut text = format!("HTTP/1.1 200 OK\r\n{headers}\r\n");
+    let query_id = format!("X-ClickHouse-Query-Id: {query_id}\r\n");
+    let mut text = format!("HTTP/1.1 200 OK\r\n{headers}{query_id}\r\n");
     if !rows.is_empty() {
         text += &format!("{:x}\r\n{rows}\r\n", rows.len());
     }
--- a/tests/unit/connection_state.rs
+++ b/tests/unit/connection_state.rs
@@ -696,16 +696,64 @@
     ));
     assert!(write_all(&mut connection, 0).is_empty());
     events.clear();
-    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na\tb\n";
-    connection.receive(MS, response, &mut events);
+    connection.receive(MS, IDENTIFIED_RESULT, &mut events);
     assert_eq!(&only_result(&events).reply.rows, b"a\tb\n");
     assert_eq!(connection.free_streams(), 1);
 }
 
-/// A response in parts is outstanding until its last byte.
-#[test]
-fn an_http_connection_is_free_once_the_response_to_a_ping_is_complete() {
+/// The result of the attempt `k1`.
+const IDENTIFIED_RESULT: &[u8] =
+    b"HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: k1\r\nContent-Length: 4\r\n\r\na\tb\n";
+
+/// A connection whose engine has identified a result.
+fn http_connection_after_identified_result() -> ConnectionState<ClickHouse> {
     let mut connection = new_http_connection();
+    connection.start_attempt(0, &attempt(1, "k1", 9_000 * MS));
+    write_all(&mut connection, 0);
+    connection.receive(0, IDENTIFIED_RESULT, &mut Vec::new());
+    connection
+}
+
+/// Guards statements against late copies of responses that name no statement: in a past fault the
+/// copy of the answer to a ping was served as the result of the next statement, and that of a
+/// rejection ended the next load, which ran. No statement follows such a response on its connection,
+/// unless its copy would be noticed.
+#[test]
+fn an_http_connection_is_not_reused_after_a_response_whose_copy_would_be_mistaken() {
+    let result = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na\tb\n";
+    let rejection = b"HTTP/1.1 503 Busy\r\nX-ClickHouse-Exception-Code: 202\r\nContent-Length: 27\r\n\r\nCode: 202. DB::Exception: \n\n";
+    let named_rejection = b"HTTP/1.1 503 Busy\r\nX-ClickHouse-Query-Id: k2\r\nX-ClickHouse-Exception-Code: 202\r\nContent-Length: 27\r\n\r\nCode: 202. DB::Exception: \n\n";
+    let connections = [new_http_connection, http_connection_after_identified_result];
+    for (connection_index, response, is_reused) in [
+        (0, &result[..], false),
+        (0, &rejection[..], false),
+        (1, &rejection[..], false),
+        (0, &named_rejection[..], true),
+        (1, &named_rejection[..], true),
+    ] {
+        let mut connection = connections[connection_index]();
+        let mut events = Vec::new();
+        connection.start_attempt(MS, &attempt(2, "k2", 9_000 * MS));
+        write_all(&mut connection, MS);
+
+        connection.receive(2 * MS, response, &mut events);
+
+        assert_eq!(ended_attempts(&events).len(), 1);
+        assert_eq!(connection.free_streams(), usize::from(is_reused));
+        assert_eq!(connection.close_reason().is_none(), is_reused);
+    }
+}
+
+/// A response in parts is outstanding until its last byte. The copy of an answer to a ping would be
+/// noticed only where the engine identifies results.
+#[test]
+fn an_http_connection_is_free_or_closed_once_the_response_to_a_ping_is_complete() {
+    check_ping(http_connection_after_identified_result(), 1);
+    check_ping(new_http_connection(), 0);
+}
+
+/// Sends a ping, and checks how many statements the connection takes after its response.
+fn check_ping(mut connection: ConnectionState<ClickHouse>, free_streams_after: usize) {
     let mut events = Vec::new();
     connection.send_probe(0);
     write_all(&mut connection, 0);
@@ -716,8 +764,13 @@
         &mut events,
     );
     assert_eq!((connection.free_streams(), events.len()), (0, 0));
+    assert_eq!(connection.close_reason(), None);
     connection.receive(MS, b".\n", &mut events);
-    assert_eq!((connection.free_streams(), events.len()), (1, 1));
+    assert_eq!(
+        (connection.free_streams(), events.len()),
+        (free_streams_after, 1)
+    );
+    assert_eq!(connection.close_reason().is_none(), free_streams_after > 0);
 }
 
 const PING_RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nOk.\n";
