--- a/tests/unit/coordinator.rs
+++ b/tests/unit/coordinator.rs
@@ -3,9 +3,12 @@
 use super::{WatchCommand, WatchError, WatchPosition, WatchReader, WatchStart, run};
 use crate::dispatcher::termination::Termination;
 use crate::net::Shared;
-use crate::net::discovery::frame::{FrameError, RECORD_BYTES, decode};
+use crate::net::discovery::frame::{FrameError, RECORD_BYTES, decode, encode_event};
+use crate::net::discovery::{ListedEndpoint, WatchEvent};
+use crate::policy::api::{CellId, Endpoint, EngineId, MachineTypeId, Readiness, ZoneId};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 const HEARTBEAT: u8 = 0;
@@ -26,6 +29,46 @@
     Rc::new(WatchPosition::after(last_index))
 }
 
+/// Guards a cold engine against being taken for a warm one after an upgrade: an event is passed on to
+/// the other process as a frame, and nothing of its endpoints may be lost.
+#[test]
+fn an_event_is_decoded_as_it_was_encoded() {
+    let endpoint = |id, readiness, started_ms: u64| Endpoint {
+        id: EngineId(id),
+        zone: ZoneId(2),
+        machine_type: MachineTypeId(1),
+        cell: CellId(700),
+        readiness,
+        weight: 0.25,
+        started_at: started_ms * 1_000_000,
+        ..Endpoint::default()
+    };
+    let endpoints = [
+        endpoint(1, Readiness::Ready, 0),
+        endpoint(u64::from(u32::MAX), Readiness::Draining, 1_800_000_000_123),
+        endpoint(3, Readiness::Removed, 5),
+    ];
+    for full in [true, false] {
+        let event = WatchEvent {
+            index: u64::MAX,
+            full,
+            endpoints: endpoints
+                .map(|endpoint| ListedEndpoint {
+                    endpoint,
+                    addr: SocketAddr::from(([10, 1, 2, 3], 65_535)),
+                })
+                .to_vec(),
+        };
+
+        let encoded = encode_event(&event);
+
+        let decoded = decode(&encoded).expect("a frame").expect("a complete one");
+        assert_eq!(decoded.length, encoded.len());
+        let found = decoded.frame.to_event().expect("an event");
+        assert_eq!(format!("{found:?}"), format!("{event:?}"));
+    }
+}
+
 /// During a migration two connections are read: each event is reported once, and the second
 /// connection continues after the last event received on either.
 #[test]
