Share the set-up of the watch and of the list among their unit tests

Three tests of the watch and two of the endpoint list set up their actor with the same lines; one function in each file does it now. In the test kit's coordinator a connection on which nothing may follow ends in a function of its own, instead of two flags that the loop checked.

--- a/src/testkit/coordinator.rs
+++ b/src/testkit/coordinator.rs
@@ -174,24 +174,19 @@
     let last_index = u64::from_be_bytes(last_index);
     let mut sent = (last_index + 1).saturating_sub(FIRST_INDEX) as usize;
     let mut polls = 0;
-    let is_silent = state.speech.get() == Speech::SilentOnNewConnections;
-    let mut partial_frame_sent = false;
+    if state.speech.get() == Speech::SilentOnNewConnections {
+        return stay_silent(state, close_count).await;
+    }
     while state.close_count.get() == close_count {
-        let speech = match state.speech.get() {
+        let speech = state.speech.get();
+        match speech {
             Speech::Closing => return Ok(()),
-            _ if is_silent => Speech::Silent,
-            speech => speech,
-        };
-        if speech == Speech::PartialFrame && !partial_frame_sent {
-            partial_frame_sent = true;
-            stream.write_all(&PARTIAL_FRAME).await?;
+            Speech::PartialFrame => {
+                stream.write_all(&PARTIAL_FRAME).await?;
+                return stay_silent(state, close_count).await;
+            }
+            _ => {}
         }
-        // Nothing can follow on a part of a frame.
-        let speech = if partial_frame_sent {
-            Speech::Silent
-        } else {
-            speech
-        };
         let sends_events = matches!(speech, Speech::Speaking | Speech::SilentOnNewConnections);
         if sends_events && state.stall_count.get() == stall_count {
             let frames: Vec<Vec<u8>> = state.frames.borrow().iter().skip(sent).cloned().collect();
@@ -211,6 +206,14 @@
     Ok(())
 }
 
+/// Keeps a connection open, on which nothing more is sent, until connections are closed.
+async fn stay_silent(state: &State, close_count: u64) -> io::Result<()> {
+    while state.close_count.get() == close_count && state.speech.get() != Speech::Closing {
+        Timer::after(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// A listed endpoint that is ready, in the first zone and cell, and of the first machine type.
 pub fn ready_endpoint(id: u32, addr: SocketAddr) -> ListedEndpoint {
     let endpoint = Endpoint {
--- a/tests/unit/coordinator.rs
+++ b/tests/unit/coordinator.rs
@@ -6,6 +6,7 @@
 use crate::net::discovery::frame::{FrameError, RECORD_BYTES, decode, encode_event};
 use crate::net::discovery::{ListedEndpoint, WatchEvent};
 use crate::policy::api::{CellId, Endpoint, EngineId, MachineTypeId, Readiness, ZoneId};
+use async_channel::Receiver;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -138,6 +139,29 @@
     assert_eq!(decode(&event(1, CHANGES, 1)[..20]), Ok(None));
 }
 
+/// Spawns a watch after event 3 that migrates to these addresses at once; returns its events.
+fn spawn_watch(
+    shared: &Rc<Shared>,
+    addrs: &[SocketAddr],
+    on_contact: impl Fn() + 'static,
+) -> Receiver<WatchEvent> {
+    let (commands, mailbox) = async_channel::bounded(2);
+    let (events, reported) = async_channel::bounded(16);
+    for addr in addrs {
+        let migration = WatchCommand::Migrate {
+            addr: *addr,
+            known: Vec::new(),
+        };
+        commands.try_send(migration).expect("capacity");
+    }
+    let start = WatchStart {
+        last_index: 3,
+        backoff_seed: 9,
+    };
+    shared.spawn(run(shared.clone(), start, mailbox, events, on_contact));
+    reported
+}
+
 /// Guards against drains that go unnoticed while a watch connection stays open but receives
 /// nothing. Several such connections in a row are replaced, each from the last event on, and the
 /// missed events are reported.
@@ -145,19 +169,8 @@
 fn unresponsive_watches_are_reconnected_from_the_last_event() {
     let shared = Shared::new(64, 64);
     let (listener, addr) = crate::testkit::listener();
-    let (migrations, mailbox) = async_channel::bounded(1);
-    let (events, reported) = async_channel::bounded(16);
-    let start = WatchStart {
-        last_index: 3,
-        backoff_seed: 9,
-    };
-    shared.spawn(run(shared.clone(), start, mailbox, events, || {}));
+    let reported = spawn_watch(&shared, &[addr], || {});
     let watch_three_times = async {
-        let migration = WatchCommand::Migrate {
-            addr,
-            known: Vec::new(),
-        };
-        let _ = migrations.send(migration).await;
         let (mut requests, mut open) = (Vec::new(), Vec::new());
         // The first connection carries one event and then nothing, the second nothing at all; both
         // stay open.
@@ -185,22 +198,11 @@
 fn a_part_of_a_frame_is_no_news_from_the_coordinator() {
     let shared = Shared::new(64, 64);
     let (listener, addr) = crate::testkit::listener();
-    let (commands, mailbox) = async_channel::bounded(1);
-    let (events, reported) = async_channel::bounded(16);
-    let start = WatchStart {
-        last_index: 3,
-        backoff_seed: 9,
-    };
     let contacts = Rc::new(Cell::new(0));
     let counter = contacts.clone();
     let count_contact = move || counter.set(counter.get() + 1);
-    shared.spawn(run(shared.clone(), start, mailbox, events, count_contact));
+    let reported = spawn_watch(&shared, &[addr], count_contact);
     let watch_twice = async {
-        let migration = WatchCommand::Migrate {
-            addr,
-            known: Vec::new(),
-        };
-        let _ = commands.send(migration).await;
         let frame = event(4, CHANGES, 1);
         let (mut first, _) = listener.accept().await.expect("a watch");
         let part = &frame[..frame.len() - 1];
@@ -226,20 +228,7 @@
     let shared = Shared::new(64, 64);
     let (old_listener, old) = crate::testkit::listener();
     let (new_listener, new) = crate::testkit::listener();
-    let (migrations, mailbox) = async_channel::bounded(2);
-    let (events, _reported) = async_channel::bounded(16);
-    let start = WatchStart {
-        last_index: 3,
-        backoff_seed: 9,
-    };
-    for addr in [old, new] {
-        let migration = WatchCommand::Migrate {
-            addr,
-            known: Vec::new(),
-        };
-        migrations.try_send(migration).expect("capacity");
-    }
-    shared.spawn(run(shared.clone(), start, mailbox, events, || {}));
+    let _reported = spawn_watch(&shared, &[old, new], || {});
 
     // Every connection to the new address is closed at once. The old address may be connected to
     // meanwhile, but not repeatedly.
--- a/tests/unit/endpoint_list.rs
+++ b/tests/unit/endpoint_list.rs
@@ -9,7 +9,7 @@
 use crate::net::mailbox::bounded;
 use crate::policy::api::Readiness;
 use crate::testkit::coordinator::ready_endpoint;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -62,39 +62,45 @@
     }
 }
 
-/// Applies events; returns the readiness that each of them reports of the engines, by their ids.
-fn reported(events: Vec<WatchEvent>) -> Vec<Vec<(u64, Readiness)>> {
-    let shared = Shared::new(64, 32);
+/// Spawns the actor of an endpoint list without followers; returns where its events are sent, and its
+/// updates for the dispatcher.
+fn spawn_list(
+    shared: &Rc<Shared>,
+    actors: &StartedActors,
+) -> (Sender<WatchEvent>, Receiver<DispatcherEvent>) {
     let (dispatcher, updates) = async_channel::unbounded();
-    let (sender, applied) = async_channel::bounded(MAILBOX_CAPACITY);
-    let (_followers, followers) = async_channel::unbounded();
+    let (events, applied) = async_channel::bounded(MAILBOX_CAPACITY);
     let mailbox = EndpointListMailbox {
         events: applied,
-        followers,
+        followers: async_channel::unbounded().1,
     };
-    let actors = StartedActors::default();
-    let list = run(
+    shared.spawn(run(
         shared.clone(),
         dispatcher,
         mailbox,
-        recording_factory(&actors),
+        recording_factory(actors),
         ClickHouseEngines::default(),
-    );
+    ));
+    (events, updates)
+}
+
+/// Applies events; returns the readiness that each of them reports of the engines, by their ids.
+fn reported(events: Vec<WatchEvent>) -> Vec<Vec<(u64, Readiness)>> {
+    let shared = Shared::new(64, 32);
+    let (sender, updates) = spawn_list(&shared, &StartedActors::default());
     for event in events {
         sender.try_send(event).expect("capacity");
     }
     drop(sender);
-    async_io::block_on(shared.executor.run(list));
-    let entries = |event: DispatcherEvent| match event {
-        DispatcherEvent::EndpointList(update) => update.entries,
-        _ => Vec::new(),
+    let report_all = async {
+        let mut reports = Vec::new();
+        while let Ok(DispatcherEvent::EndpointList(update)) = updates.recv().await {
+            let entries = update.entries.iter();
+            reports.push(entries.map(|entry| (entry.id.0, entry.readiness)).collect());
+        }
+        reports
     };
-    std::iter::from_fn(|| updates.try_recv().ok())
-        .map(|event| {
-            let entries = entries(event).into_iter();
-            entries.map(|entry| (entry.id.0, entry.readiness)).collect()
-        })
-        .collect()
+    async_io::block_on(shared.executor.run(report_all))
 }
 
 /// Guards against two engines at one address: in a past fault an engine that moved to the address of
@@ -131,23 +137,8 @@
 #[test]
 fn a_replaced_engine_is_reported_removed_and_its_actor_ends() {
     let shared = Shared::new(64, 32);
-    let (dispatcher, updates) = async_channel::unbounded();
-    let (events, applied) = async_channel::bounded(MAILBOX_CAPACITY);
-    let (_followers, followers) = async_channel::unbounded();
-    let mailbox = EndpointListMailbox {
-        events: applied,
-        followers,
-    };
     let actors = StartedActors::default();
-    let factory = recording_factory(&actors);
-    let clickhouse = ClickHouseEngines::default();
-    shared.spawn(run(
-        shared.clone(),
-        dispatcher,
-        mailbox,
-        factory,
-        clickhouse,
-    ));
+    let (events, updates) = spawn_list(&shared, &actors);
     let replace_all = async {
         let mut reported_removed = Vec::new();
         for id in 1..=ENGINES {
