Derive what the exchange of lists and HTTP connections stored twice

No change of behaviour. The exchange of the endpoint list kept the highest number received beside the highest number that the other process has; the second one tells both, as a process sends only what it has applied. An HTTP response kept whether it is identified; the header in its head tells that, as another query's identifier was refused before. The start keeps one set of channels to discovery instead of building it from two fields. `Adopted`, an earlier name, is `InForce`. The record's decoder is private again, and three comments say what is the case: a mailbox of the watch that is full, and claims of processes that may be connected.

--- a/src/backend/clickhouse/mod.rs
+++ b/src/backend/clickhouse/mod.rs
@@ -45,8 +45,6 @@
 struct PendingResponse {
     head: Head,
     body: Body,
-    /// Whether it has the identifier of its query.
-    identified: bool,
 }
 
 /// Result of reading the head of a response.
@@ -144,47 +142,42 @@
         let body = head
             .body_framing(default_body)
             .map_err(|_| ProtocolError::Violation)?;
-        let identified = self.check_query_id(&head)?;
+        self.check_query_id(&head)?;
         if matches!(body, Body::Length(length) if length > MAX_RESPONSE_BYTES as u64) {
             return Err(self.reject_large_response(output));
         }
-        self.response = Some(PendingResponse {
-            head,
-            body,
-            identified,
-        });
+        self.response = Some(PendingResponse { head, body });
         Ok(HeadStatus::Final)
     }
 
     /// Detects a duplicate response, or one to an earlier request. An engine that has identified a
     /// response by [`QUERY_ID_HEADER`] identifies all results; its exceptions may lack the header,
-    /// and other engines never send it. Returns whether the response is identified.
-    fn check_query_id(&mut self, head: &Head) -> Result<bool, ProtocolError> {
+    /// and other engines never send it.
+    fn check_query_id(&mut self, head: &Head) -> Result<(), ProtocolError> {
         let Some(Exchange::Query { query_id, .. }) = &self.exchange else {
-            return Ok(false);
+            return Ok(());
         };
         let [_, status, _] = &head.start_line;
         match head.field(QUERY_ID_HEADER) {
-            Some(found) if *found == **query_id => {
-                self.identifies_responses = true;
-                Ok(true)
-            }
-            Some(_) => Err(ProtocolError::Violation),
+            Some(found) if *found == **query_id => self.identifies_responses = true,
+            Some(_) => return Err(ProtocolError::Violation),
             None if self.identifies_responses && status == SUCCESS_STATUS => {
-                Err(ProtocolError::Violation)
+                return Err(ProtocolError::Violation);
             }
-            None => Ok(false),
+            None => {}
         }
+        Ok(())
     }
 
-    /// Whether a second copy of a response that has just been received would be noticed if it came
-    /// after the next query was written. Otherwise it would be taken for the response to that query,
-    /// so the connection must not be reused.
-    fn would_notice_copy(&self, identified: bool) -> bool {
+    /// Whether a second copy of the response in progress would be noticed if it came after the next
+    /// query was written. Otherwise it would be taken for the response to that query, so the
+    /// connection must not be reused.
+    fn would_notice_copy(&self, head: &Head) -> bool {
         match &self.exchange {
             // Its copy has status 200 and no identifier.
             Some(Exchange::Ping(_)) => self.identifies_responses,
-            _ => identified,
+            // The identifier of another query was refused.
+            _ => head.field(QUERY_ID_HEADER).is_some(),
         }
     }
 
@@ -217,16 +210,13 @@
 
     /// Ends the exchange with its complete response.
     fn complete_response(&mut self, output: &mut ProtocolOutput) {
-        let Some(PendingResponse {
-            head, identified, ..
-        }) = self.response.take()
-        else {
+        let Some(PendingResponse { head, .. }) = self.response.take() else {
             return;
         };
         self.partial_response_at = None;
         let rows = std::mem::take(&mut self.rows);
         let [version, status, _] = &head.start_line;
-        self.reusable &= head.keeps_alive(version) && self.would_notice_copy(identified);
+        self.reusable &= head.keeps_alive(version) && self.would_notice_copy(&head);
         let success = status == SUCCESS_STATUS;
         match self.exchange.take() {
             Some(Exchange::Query { id, .. }) => {
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -106,10 +106,10 @@
         self.endpoint_list_received = true;
     }
 
-    /// Sets what this process has of its predecessor's endpoint list. A list that was adopted stays
-    /// so.
+    /// Sets what this process has of its predecessor's endpoint list. A list that is in force
+    /// stays so.
     pub fn set_predecessor_list(&mut self, list: PredecessorList) {
-        if self.predecessor_list != PredecessorList::Adopted {
+        if self.predecessor_list != PredecessorList::InForce {
             self.predecessor_list = list;
         }
     }
@@ -125,7 +125,7 @@
     pub fn may_serve_without_coordinator(&self) -> bool {
         matches!(
             self.predecessor_list,
-            PredecessorList::NotExpected | PredecessorList::Adopted
+            PredecessorList::NotExpected | PredecessorList::InForce
         )
     }
 
--- a/src/lifecycle/peer_state.rs
+++ b/src/lifecycle/peer_state.rs
@@ -25,7 +25,7 @@
     /// The predecessor does not send it, or this process can't use it.
     Unavailable,
     /// This process acts on it.
-    Adopted,
+    InForce,
 }
 
 /// The state of the predecessor of this process in a hot restart.
--- a/src/net/client/listener_close.rs
+++ b/src/net/client/listener_close.rs
@@ -62,8 +62,8 @@
     ]
 }
 
-/// Counts a listener in [`Shared::listeners_accepted_elsewhere`] while a process that is not connected
-/// to this one claims that it accepts from it.
+/// Counts a listener in [`Shared::listeners_accepted_elsewhere`] while another process claims that it
+/// accepts from it.
 pub(super) struct AcceptedElsewhere<'a> {
     shared: &'a Shared,
     listener: &'a Async<TcpListener>,
--- a/src/net/discovery/frame.rs
+++ b/src/net/discovery/frame.rs
@@ -124,7 +124,7 @@
 }
 
 /// Decodes the record of one endpoint; `None` if its state is unknown.
-pub fn decode_record(record: &Record) -> Option<ListedEndpoint> {
+fn decode_record(record: &Record) -> Option<ListedEndpoint> {
     let readiness = match record[10] {
         0 => Readiness::Ready,
         1 => Readiness::Draining,
--- a/src/net/fleet/membership/version_guard.rs
+++ b/src/net/fleet/membership/version_guard.rs
@@ -60,7 +60,7 @@
     /// the coordinator.
     fn request_reload(&self, shared: &Shared) {
         log!("fleet: behind the majority: reloading the settings and the endpoint list");
-        // A full mailbox contains another command, after which the check runs again.
+        // The mailbox is full only if the watch does not run.
         let _ = self.coordinator.try_send(WatchCommand::Reconnect);
         match shared.process_overrides.get() {
             Some(overrides) => overrides
--- a/src/net/hot_restart/endpoint_list_exchange.rs
+++ b/src/net/hot_restart/endpoint_list_exchange.rs
@@ -58,9 +58,8 @@
     applied: Receiver<WatchEvent>,
     /// The number of the last event taken from `applied`.
     applied_index: Cell<u64>,
-    /// The highest number received from the other process.
-    received_index: Cell<Option<u64>>,
-    /// The highest number that the other process has, as far as this one knows.
+    /// The highest number that was received from the other process or sent to it. `None` at a
+    /// successor means that nothing was received, as it sends nothing before.
     peer_index: Cell<Option<u64>>,
     /// Whether an ignored event was logged.
     ignored_logged: Cell<bool>,
@@ -77,7 +76,6 @@
             watch: channels.watch.clone(),
             applied,
             applied_index: Cell::new(0),
-            received_index: Cell::new(None),
             peer_index: Cell::new(None),
             ignored_logged: Cell::new(false),
         }
@@ -86,7 +84,7 @@
     /// Waits until this process has applied an event, and returns the message that reports it to the
     /// other process; empty if that one has the event already.
     pub(super) async fn next_message(&self, shared: &Shared) -> Vec<u8> {
-        if self.role == Role::Successor && self.received_index.get().is_none() {
+        if self.role == Role::Successor && self.peer_index.get().is_none() {
             return std::future::pending().await;
         }
         let Ok(event) = self.applied.recv().await else {
@@ -122,26 +120,28 @@
                 return Err(reason);
             }
         };
-        let index = Some(event.index);
-        self.received_index
-            .set(self.received_index.get().max(index));
-        self.peer_index.set(self.peer_index.get().max(index));
+        let peer_index = self.peer_index.get().max(Some(event.index));
+        self.peer_index.set(peer_index);
         // The watch ends only when the process exits.
         let _ = self.watch.send(WatchCommand::Adopt(event)).await;
         Ok(())
     }
 
-    /// Whether this process has applied all events that were received.
+    /// Whether a successor has received events and has applied all of them.
     pub(super) fn has_applied_received(&self) -> bool {
-        self.received_index
-            .get()
-            .is_some_and(|received| received <= self.applied_index.get())
+        self.peer_index.get().is_some() && !self.is_behind()
     }
 
-    /// Waits until this process has applied all events that were received, if there are any. Used
-    /// once the session has ended.
+    /// Whether this process has not applied an event that was received. What it has sent it has
+    /// applied.
+    fn is_behind(&self) -> bool {
+        self.peer_index.get() > Some(self.applied_index.get())
+    }
+
+    /// Waits until this process has applied all events that were received. Used once the session has
+    /// ended.
     pub(super) async fn wait_until_applied(&self) {
-        while self.received_index.get().is_some() && !self.has_applied_received() {
+        while self.is_behind() {
             match self.applied.recv().await {
                 Ok(event) => self.applied_index.set(event.index),
                 Err(_) => return,
--- a/src/net/hot_restart/predecessor_session.rs
+++ b/src/net/hot_restart/predecessor_session.rs
@@ -102,7 +102,8 @@
         return;
     }
     log!("hot restart: transferred the listeners to a successor");
-    let endpoint_lists = EndpointListExchange::start(Role::Predecessor, &predecessor.discovery);
+    let endpoint_lists =
+        EndpointListExchange::start(Role::Predecessor, &predecessor.discovery).await;
     let session = PredecessorSession {
         shared,
         successors,
@@ -117,7 +118,7 @@
         stop_announced: false,
         dispatcher: &predecessor.dispatcher,
         request_ids: None,
-        endpoint_lists: endpoint_lists.await,
+        endpoint_lists,
         next_poll_at: Instant::now() + POLL_INTERVAL,
     };
     if let Err(SessionError::Disconnected) = session.run().await {
--- a/src/net/hot_restart/successor_session.rs
+++ b/src/net/hot_restart/successor_session.rs
@@ -170,7 +170,7 @@
     fn record_adopted_list(&self) {
         if self.endpoint_lists.has_applied_received() {
             let mut lifecycle = self.shared.lifecycle.borrow_mut();
-            lifecycle.set_predecessor_list(PredecessorList::Adopted);
+            lifecycle.set_predecessor_list(PredecessorList::InForce);
         }
     }
 
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -71,8 +71,8 @@
     pub open_listeners: Rc<Cell<usize>>,
     /// The listeners of clients.
     pub listeners: RefCell<Vec<Weak<Async<TcpListener>>>>,
-    /// Listeners that this process has stopped to accept from, and from which a process that is not
-    /// connected to it accepts: one at the other end of a chain of hot restarts.
+    /// Listeners that this process has stopped to accept from, and from which another process claims
+    /// to accept. It may be at the other end of a chain of hot restarts, not connected to this one.
     pub listeners_accepted_elsewhere: Rc<Cell<usize>>,
     /// Whether the listeners are closed or about to be, so that they can no longer be passed to a
     /// successor.
--- a/src/startup/discovery.rs
+++ b/src/startup/discovery.rs
@@ -64,7 +64,7 @@
         last_index: known_events.last_index,
         backoff_seed: config.seed,
     };
-    let coordinator = context.coordinator.clone();
+    let coordinator = context.discovery.watch.clone();
     context.shared.spawn(async move {
         for event in known_events.events {
             let _ = events.send(event).await;
--- a/src/startup/hot_restart.rs
+++ b/src/startup/hot_restart.rs
@@ -23,7 +23,7 @@
         name: config.name.clone(),
         listeners,
         dispatcher: context.dispatcher.clone(),
-        discovery: context.discovery(),
+        discovery: context.discovery.clone(),
     });
     let shared = context.shared.clone();
     let serving = context.serving.clone();
@@ -41,7 +41,7 @@
     context.shared.spawn(follow_predecessor(
         context.shared.clone(),
         context.dispatcher.clone(),
-        context.discovery(),
+        context.discovery.clone(),
         transferred,
         adopt_connection(context),
         start_serving,
--- a/src/startup/mod.rs
+++ b/src/startup/mod.rs
@@ -20,8 +20,7 @@
 use crate::dispatcher::metrics::Counters;
 use crate::frontend::jsonrpc::JsonRpc;
 use crate::net::audit::AuditWriter;
-use crate::net::discovery::coordinator::{self, WatchCommand};
-use crate::net::discovery::followers::Follower;
+use crate::net::discovery::coordinator;
 use crate::net::discovery::known_events::parse_known;
 use crate::net::dispatcher::DispatcherEvent;
 use crate::net::fleet::membership::MembershipService;
@@ -48,22 +47,10 @@
     incarnation: Micros,
     names: LiveNames,
     dispatcher: Sender<DispatcherEvent>,
-    coordinator: Sender<WatchCommand>,
-    /// Adds followers of the endpoint list.
-    followers: Sender<Follower>,
+    discovery: DiscoveryChannels,
     serving: ServingGate,
 }
 
-impl StartContext {
-    /// The channels to the actors of discovery.
-    fn discovery(&self) -> DiscoveryChannels {
-        DiscoveryChannels {
-            followers: self.followers.clone(),
-            watch: self.coordinator.clone(),
-        }
-    }
-}
-
 /// Delays the start of the frontends' listeners until this process serves.
 #[derive(Clone)]
 struct ServingGate {
@@ -107,15 +94,14 @@
 
     let dispatcher = new_dispatcher(&shared, config);
     let (events, mailbox) = bounded(dispatcher::MAILBOX_CAPACITY);
-    let (coordinator, watch_commands) = bounded(coordinator::MAILBOX_CAPACITY);
+    let (watch, watch_commands) = bounded(coordinator::MAILBOX_CAPACITY);
     let (followers, new_followers) = unbounded();
     let context = StartContext {
         shared: shared.clone(),
         incarnation,
         names: Rc::new(RefCell::new(Rc::new(config.names.clone()))),
         dispatcher: events,
-        coordinator,
-        followers,
+        discovery: DiscoveryChannels { followers, watch },
         serving: ServingGate::closed(),
     };
     if let Some(socket) = sockets.fleet {
@@ -144,7 +130,7 @@
         json: RefCell::new(files.config.json),
         clickhouse,
         shared: shared.clone(),
-        coordinator: context.coordinator.clone(),
+        coordinator: context.discovery.watch.clone(),
         dispatcher: context.dispatcher.clone(),
     };
     signals::start(&context, signals, reload);
@@ -216,7 +202,7 @@
         config: socket.config,
         configured_gateways: config.settings.gateways,
         dispatcher: context.dispatcher.clone(),
-        coordinator: context.coordinator.clone(),
+        coordinator: context.discovery.watch.clone(),
     };
     let shared = context.shared.clone();
     let run = service.run(shared, socket.socket, socket.address);
--- a/tests/unit/lifecycle.rs
+++ b/tests/unit/lifecycle.rs
@@ -35,7 +35,7 @@
     PredecessorList::NotExpected,
     PredecessorList::Awaited,
     PredecessorList::Unavailable,
-    PredecessorList::Adopted,
+    PredecessorList::InForce,
 ];
 
 impl Arbitrary for Step {
@@ -102,8 +102,8 @@
                 _ => None,
             })
             .collect();
-        if lists.contains(&PredecessorList::Adopted) {
-            return PredecessorList::Adopted;
+        if lists.contains(&PredecessorList::InForce) {
+            return PredecessorList::InForce;
         }
         lists.last().copied().unwrap_or_default()
     }
--- a/tests/unit/net_hot_restart_endpoint_lists.rs
+++ b/tests/unit/net_hot_restart_endpoint_lists.rs
@@ -188,7 +188,7 @@
 /// The state of a process that acts on [`drain_message`].
 fn adopted_list() -> Served {
     Served {
-        predecessor_list: PredecessorList::Adopted,
+        predecessor_list: PredecessorList::InForce,
         index: 3,
         engines: vec![(1, Readiness::Draining)],
     }
@@ -286,7 +286,7 @@
 
     let (served, mut predecessor) = successor.serve();
 
-    assert_eq!(served, own_list(PredecessorList::Adopted));
+    assert_eq!(served, own_list(PredecessorList::InForce));
     let engines = [1, 2].map(|id| listed(id, Readiness::Ready));
     let own = message(NUMBERING, &full_list(FIRST_INDEX, engines.to_vec()));
     let mut sent = vec![0; 1_024];
